Take order counts from engine reports, and report less often

Cause: the field `sequence` of an engine's row numbers heartbeats, and the engines refused all orders that named it as their order count. Ruled out: a wrong fencing number (no refusal with 412).

--- a/src/deployment/endpoint_record.ts
+++ b/src/deployment/endpoint_record.ts
@@ -24,6 +24,4 @@
   readonly inMemory: readonly string[];
   /** Models whose weights lie on the endpoint's disk. */
   readonly onDisk: readonly string[];
-  /** Orders that the endpoint has accepted since its start. */
-  readonly ordersAccepted: number;
 }
--- a/src/engines/arrival_rates.ts
+++ b/src/engines/arrival_rates.ts
@@ -1,6 +1,9 @@
 /** Time constant of the rates: long enough to tell busy models from rare ones. */
 const TIME_CONSTANT_MILLISECONDS = 5000;
 
+/** Shortest time between two updates. */
+const UPDATE_MILLISECONDS = 250;
+
 /** Requests a second for each target, from counts that only grow. */
 export class ArrivalRates {
   private readonly rates = new Map<string, number>();
@@ -10,8 +13,8 @@
   /** Takes counts since the hosts' starts; a restart lowers them. */
   update(counts: ReadonlyMap<string, number>, now: number): void {
     const elapsed = now - (this.updatedAt ?? now);
-    const former = this.counts;
-    if (this.updatedAt !== undefined && elapsed <= 0) return;
+    const former = this.updatedAt === undefined ? counts : this.counts;
+    if (this.updatedAt !== undefined && elapsed < UPDATE_MILLISECONDS) return;
     this.counts = counts;
     this.updatedAt = now;
     const keep = Math.exp(-elapsed / TIME_CONSTANT_MILLISECONDS);
--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -9,6 +9,7 @@
   success,
 } from '../errors/mod.ts';
 import {
+  type ArrivalCount,
   chooseEndpoint,
   type Endpoint,
   type EndpointRegistry,
@@ -47,10 +48,7 @@
 /** Chooses endpoints; requests for models that no engine holds wait for a load. */
 export class EndpointRouter implements EndpointSource {
   private readonly waiters = new Map<string, Set<Waiter>>();
-  private readonly arrivals = new Map<
-    string,
-    {service: string; target: string; requests: number}
-  >();
+  private readonly arrivals = new Map<string, ArrivalCount>();
 
   constructor(private readonly options: EndpointRouterOptions) {
     const wakeAll = () => {
@@ -71,8 +69,8 @@
     const {service} = request;
     const isModelRequest = service.engines !== undefined && target !== '';
     if (isModelRequest) {
-      this.countArrival(service.name, target, request);
       const model = request.traits.model ?? '';
+      if (excluded.size === 0) this.countArrival(service.name, model);
       if (service.engines?.models.has(model) !== true) {
         return refusal(
           REQUEST_ERROR_CODES.modelNotFound,
@@ -129,25 +127,15 @@
     });
   }
 
-  /** Requests for each target since the start. */
-  arrivalCounts(): LoadReport['arrivals'] {
+  /** Requests for each model since the start. */
+  arrivalCounts(): ArrivalCount[] {
     return [...this.arrivals.values()];
   }
 
-  private countArrival(
-    service: string,
-    target: string,
-    request: RoutedRequest,
-  ): void {
-    const model = request.traits.model ?? target;
+  private countArrival(service: string, model: string): void {
     const key = `${service} ${model}`;
-    const entry = this.arrivals.get(key) ?? {
-      service,
-      target: model,
-      requests: 0,
-    };
-    entry.requests++;
-    this.arrivals.set(key, entry);
+    const requests = (this.arrivals.get(key)?.requests ?? 0) + 1;
+    this.arrivals.set(key, {service, model, requests});
   }
 
   private choose(
--- a/src/engines/pool_manager.ts
+++ b/src/engines/pool_manager.ts
@@ -8,7 +8,7 @@
 import {type Clock, sleep} from '../time/mod.ts';
 import {AdapterDesk} from './_adapter_desk.ts';
 import {ArrivalRates} from './arrival_rates.ts';
-import {EngineState} from './engine_state.ts';
+import {EngineState, type PendingOrder} from './engine_state.ts';
 import type {EngineControl, OrderOutcome} from './engine_control.ts';
 import {
   loadTime,
@@ -37,7 +37,10 @@
 }
 
 /** Pause between two looks at demand and engines when nothing has changed. */
-const ROUND_MILLISECONDS = 100;
+const ROUND_MILLISECONDS = 150;
+
+/** The same on a host that does not manage the pool. */
+const IDLE_ROUND_MILLISECONDS = 1000;
 
 /** Time in which hosts learn that a replica is withdrawn, before it is unloaded. */
 const WITHDRAWAL_MILLISECONDS = 20;
@@ -77,7 +80,7 @@
 
   /** Looks at demand and engines without waiting for the next round. */
   notify(): void {
-    this.wake();
+    if (this.options.lease.isHeld()) this.wake();
   }
 
   /** Manages the pool until {@link stop}. */
@@ -98,7 +101,10 @@
   private async nextRound(): Promise<void> {
     const round = new AbortController();
     this.wake = () => round.abort();
-    await sleep(this.options.clock, ROUND_MILLISECONDS, round.signal);
+    const pause = this.options.lease.isHeld()
+      ? ROUND_MILLISECONDS
+      : IDLE_ROUND_MILLISECONDS;
+    await sleep(this.options.clock, pause, round.signal);
   }
 
   private round(): void {
@@ -107,11 +113,11 @@
     const terms = service?.engines;
     const now = clock.monotonicMilliseconds();
     if (service === undefined || terms === undefined) return;
-    this.rates.update(this.options.load.arrivals(service.name), now);
     if (lease.epoch === undefined || !lease.isHeld()) {
       this.forgetTerm();
       return;
     }
+    this.rates.update(this.options.load.arrivals(service.name), now);
     if (lease.epoch !== this.epoch) this.beginTerm(lease.epoch, terms, now);
     this.takeRows(service.name, now);
     this.announceChanges();
@@ -167,22 +173,19 @@
         this.engines.set(record.id, new EngineState(record));
         continue;
       }
-      known.inMemory = new Set(record.inMemory);
-      known.onDisk = new Set(record.onDisk);
-      known.record = record;
-      this.settle(known, record.models, record.ordersAccepted, now);
+      const {pending} = known;
+      known.takeRow(record, now);
+      this.noteSettled(known, pending, now);
     }
     for (const engine of this.engines.values()) this.checkOverdue(engine, now);
   }
 
-  private settle(
+  /** Accounts for an order that has taken effect. */
+  private noteSettled(
     engine: EngineState,
-    models: EndpointRecord['models'],
-    ordersAccepted: number,
+    pending: PendingOrder | undefined,
     now: number,
   ): void {
-    const {pending} = engine;
-    engine.update(models, ordersAccepted);
     if (pending === undefined || engine.pending !== undefined) return;
     const took = now - pending.startedAt;
     if (pending.tier === 'remote') {
@@ -214,21 +217,19 @@
     engine.isOrdering = true;
     const report = await control.report(engine.record);
     if (report.ok) {
-      const {models, ordersAccepted, isBusy} = report.value;
-      engine.isUncertain = false;
-      this.settle(
-        engine,
-        models,
-        Math.max(ordersAccepted, engine.ordersAccepted),
-        clock.monotonicMilliseconds(),
-      );
-      engine.ordersAccepted = ordersAccepted;
-      if (!isBusy && engine.pending !== undefined) {
+      const {pending} = engine;
+      const now = clock.monotonicMilliseconds();
+      engine.takeReport(report.value, now);
+      this.noteSettled(engine, pending, now);
+      if (!report.value.isBusy && engine.pending !== undefined) {
         // The engine has dropped the order, or never began it.
         if (engine.pending.tier === 'remote') this.budget?.abandon();
         engine.withdrawn.delete(engine.pending.model);
         engine.pending = undefined;
       }
+      engine.isOrdering = false;
+      this.wake();
+      return;
     } else {
       logger.event('engineReportFailed', {
         endpoint: engine.record.id,
@@ -361,6 +362,7 @@
       return 'unsent';
     }
     const expectedOrders = engine.ordersAccepted;
+    if (expectedOrders === undefined) return 'unsent';
     const outcome = await control.order(engine.record, {
       operation,
       model,
@@ -381,6 +383,7 @@
     metrics.increment('limpetdale_orders_total', {operation, outcome});
     if (outcome === 'accepted' || outcome === 'done') {
       engine.ordersAccepted = expectedOrders + 1;
+      engine.changedAt = this.options.clock.monotonicMilliseconds();
     } else if (outcome !== 'unsent') {
       engine.isUncertain = true;
     }
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -98,6 +98,7 @@
       new FleetLoad({
         clock,
         own: () => container.get(FleetExchange).ownReport(),
+        ownArrivals: () => container.get(EndpointRouter).arrivalCounts(),
       }),
   );
   container.bind(FleetExchange).toDynamicValue(
--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -80,8 +80,14 @@
       this.container.get(EntryListeners).listen(),
     ]);
     peers.start(server);
+    // One of each two hosts opens their link; a second link would only be idle.
     hosts.onChange(() =>
-      peers.setAddresses(hosts.others().map(host => host.peerAddress)),
+      peers.setAddresses(
+        hosts
+          .others()
+          .filter(host => host.hostId > settings.hostId)
+          .map(host => host.peerAddress),
+      ),
     );
     this.container.get(StoreFollowers).start();
     void this.container.get(HostAnnouncer).announce();
--- a/src/entry/fleet_exchange.ts
+++ b/src/entry/fleet_exchange.ts
@@ -26,7 +26,10 @@
 }
 
 /** Pause between load reports. */
-const REPORT_MILLISECONDS = 100;
+const REPORT_MILLISECONDS = 200;
+
+/** Pause between reports of arrivals, which only rates are made from. */
+const ARRIVAL_REPORT_MILLISECONDS = 1000;
 
 /** Pause between load reports without a change, which show that the host lives. */
 const IDLE_REPORT_MILLISECONDS = 500;
@@ -39,6 +42,7 @@
   private readonly stopping = new AbortController();
   private lastReport = '';
   private reportedAt = Number.NEGATIVE_INFINITY;
+  private arrivalsReportedAt = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: FleetExchangeOptions) {
     options.peers.onMessage((from, message) => this.receive(from, message));
@@ -55,6 +59,7 @@
     const {clock} = this.options;
     while (!this.stopping.signal.aborted) {
       this.report();
+      this.reportArrivals();
       await sleep(clock, REPORT_MILLISECONDS, this.stopping.signal);
     }
   }
@@ -85,6 +90,16 @@
     peers.broadcast({kind: 'load_report', ...report});
   }
 
+  private reportArrivals(): void {
+    const {clock, peers, router} = this.options;
+    const now = clock.monotonicMilliseconds();
+    if (now - this.arrivalsReportedAt < ARRIVAL_REPORT_MILLISECONDS) return;
+    this.arrivalsReportedAt = now;
+    const arrivals = router.arrivalCounts();
+    if (arrivals.length > 0)
+      peers.broadcast({kind: 'arrival_report', arrivals});
+  }
+
   /** The report of this host. */
   ownReport(): LoadReport {
     const {registry, router, rates, isLeaving} = this.options;
@@ -98,7 +113,6 @@
     return {
       inFlight,
       waiting: router.waiting(),
-      arrivals: router.arrivalCounts(),
       spent: [...rates.spending()],
       leaving: isLeaving(),
     };
@@ -123,6 +137,9 @@
         rates.receive(`${from.hostId}/${from.incarnation}`, message.spent);
         if (message.waiting.length > 0) this.options.demandChanged();
         return;
+      case 'arrival_report':
+        load.receiveArrivals(from.hostId, message.arrivals);
+        return;
       case 'replica_state':
         replicas.receive(message);
         this.options.managerHeard(message.service);
--- a/src/fleet/fleet_load.ts
+++ b/src/fleet/fleet_load.ts
@@ -4,6 +4,9 @@
 /** What one host reports. */
 export type LoadReport = Omit<PeerMessageOf<'load_report'>, 'kind'>;
 
+/** Requests for one model since the start of a host. */
+export type ArrivalCount = PeerMessageOf<'arrival_report'>['arrivals'][number];
+
 /** Requests that wait for one target, over all hosts. */
 export interface WaitingTarget {
   readonly service: string;
@@ -19,6 +22,8 @@
   clock: Clock;
   /** Report of this host; read whenever sums are asked for. */
   own: () => LoadReport;
+  /** Requests of this host for each model. */
+  ownArrivals: () => readonly ArrivalCount[];
 }
 
 /** Reports older than this are left out: their host has probably stopped. */
@@ -32,6 +37,7 @@
 /** Sums of the hosts' load reports. */
 export class FleetLoad {
   private readonly reports = new Map<string, ReceivedReport>();
+  private readonly peerArrivals = new Map<string, readonly ArrivalCount[]>();
 
   constructor(private readonly options: FleetLoadOptions) {}
 
@@ -41,8 +47,14 @@
     this.reports.set(hostId, {report, receivedAt});
   }
 
+  /** Takes a peer's counts in place of its former ones. */
+  receiveArrivals(hostId: string, arrivals: readonly ArrivalCount[]): void {
+    this.peerArrivals.set(hostId, arrivals);
+  }
+
   /** Forgets a host whose link has closed. */
   forget(hostId: string): void {
+    this.peerArrivals.delete(hostId);
     this.reports.delete(hostId);
   }
 
@@ -92,15 +104,12 @@
     return [...sums.values()];
   }
 
-  /** Requests for each target of a service since the hosts' starts. */
+  /** Requests for each model of a service since the hosts' starts. */
   arrivals(service: string): ReadonlyMap<string, number> {
     const sums = new Map<string, number>();
-    for (const report of this.allReports()) {
-      for (const entry of report.arrivals) {
-        if (entry.service !== service) continue;
-        const sum = sums.get(entry.target) ?? 0;
-        sums.set(entry.target, sum + entry.requests);
-      }
+    const counts = [this.options.ownArrivals(), ...this.peerArrivals.values()];
+    for (const {service: name, model, requests} of counts.flat()) {
+      if (name === service) sums.set(model, (sums.get(model) ?? 0) + requests);
     }
     return sums;
   }
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -27,6 +27,7 @@
 } from './host_row.ts';
 export {HostRegistry, type HostRegistryOptions} from './host_registry.ts';
 export {
+  type ArrivalCount,
   FleetLoad,
   type FleetLoadOptions,
   type LoadReport,
--- a/src/peers/peer_codec.ts
+++ b/src/peers/peer_codec.ts
@@ -13,7 +13,11 @@
 /** Anything that is sent on a link. */
 export type PeerFrame = PeerGreeting | PeerMessage;
 
-const frameSchema = z.union([peerGreetingSchema, peerMessageSchema]);
+// One lookup by kind; a union would try the greeting for each message.
+const frameSchema = z.discriminatedUnion('kind', [
+  peerGreetingSchema,
+  peerMessageSchema,
+]);
 
 // Records would make each frame depend on the ones before it.
 const packr = new Packr({useRecords: false, encodeUndefinedAsNil: true});
--- a/src/peers/peer_message.ts
+++ b/src/peers/peer_message.ts
@@ -135,17 +135,20 @@
         waitedMilliseconds: milliseconds,
       }),
     ),
-    /** Requests for each target since the start of the process. */
+    /** Tokens that each team has spent on this host since its start. */
+    spent: z.array(z.object({team: z.string(), tokens, level: z.number()})),
+    leaving: z.boolean(),
+  }),
+  /** Requests for each model since the start of the sending process. */
+  z.object({
+    kind: z.literal('arrival_report'),
     arrivals: z.array(
       z.object({
         service: z.string(),
-        target: z.string(),
+        model: z.string(),
         requests: z.number().int(),
       }),
     ),
-    /** Tokens that each team has spent on this host since its start. */
-    spent: z.array(z.object({team: z.string(), tokens, level: z.number()})),
-    leaving: z.boolean(),
   }),
   /** Replicas of some engines, sent by the host that manages their pool. */
   z.object({
--- a/src/platform/decode_endpoint.ts
+++ b/src/platform/decode_endpoint.ts
@@ -11,7 +11,8 @@
 const ADDRESS_PATTERN = /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/;
 
 /**
- * Decodes an endpoint's row.
+ * Decodes an endpoint's row. Its `sequence` numbers heartbeats and is left out;
+ * the field of that name in an engine's report counts accepted orders.
  *
  * @param id Key of the row.
  * @param value Parsed JSON of the row.
@@ -41,8 +42,6 @@
     models: decodeHeldModels(value['models']),
     inMemory: textsOf(available['in_memory']),
     onDisk: textsOf(available['on_disk']),
-    // `sequence` counts accepted orders; it isn't a heartbeat number.
-    ordersAccepted: numberOf(value['sequence']),
   };
 }
 
--- /dev/null
+++ b/src/testing/platform_endpoint_stand_in.ts
@@ -0,0 +1,304 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import type {PlatformStoreStandIn} from './platform_store_stand_in.ts';
+import {readRequestBody} from './_read_request_body.ts';
+
+/** What a stand-in of a platform endpoint does with its next requests. */
+export type EndpointTrouble =
+  | 'none'
+  /** Answers 503 and says that the request did not run. */
+  | 'sheds'
+  /** Answers 500 with its signature. */
+  | 'fails'
+  /** Runs the request and closes the connection without an answer. */
+  | 'loses_answer'
+  /** Closes the connection in the middle of the body. */
+  | 'cuts_body'
+  /** Answers with the id of another request. */
+  | 'answers_other'
+  /** Answers without its signature. */
+  | 'unsigned'
+  /** Sends a second answer after the first. */
+  | 'extra_answer'
+  /** Never answers. */
+  | 'hangs'
+  /** Ends the body without a length and with a reset. */
+  | 'unframed_reset';
+
+/** A request that an endpoint has run. */
+export interface SeenRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: NodeJS.Dict<string | string[]>;
+  readonly body: string;
+}
+
+/** Options of {@link PlatformEndpointStandIn}. */
+export interface PlatformEndpointOptions {
+  id: string;
+  service: string;
+  dataCentre?: string;
+  /** Models in the accelerator at the start; the endpoint is an engine then. */
+  models?: readonly string[];
+  /** Milliseconds until a load has ended. @default 20 */
+  loadMilliseconds?: number;
+  /** Events of a stream. @default 3 */
+  events?: number;
+}
+
+/** Stand-in of an engine or a plain service, after the platform's protocol page. */
+export class PlatformEndpointStandIn {
+  trouble: EndpointTrouble = 'none';
+  /** Answers with which the trouble stops; unlimited when undefined. */
+  troubles: number | undefined;
+  readonly ran: SeenRequest[] = [];
+  readonly orders: {
+    operation: string;
+    model: string;
+    adapter?: string;
+    holder: string;
+    fencing_token: number;
+  }[] = [];
+  private readonly held: Map<string, Set<string>>;
+  private readonly born = Date.now();
+  private accepted = 0;
+  private busy = false;
+  private readonly server: Server;
+
+  private constructor(
+    private readonly options: PlatformEndpointOptions,
+    private readonly store: PlatformStoreStandIn,
+  ) {
+    this.held = new Map(
+      (options.models ?? []).map(model => [model, new Set<string>()]),
+    );
+    this.server = createServer((request, response) => {
+      void this.answer(request, response);
+    });
+  }
+
+  /** Starts an endpoint on a free loopback port and registers it. */
+  static async start(
+    options: PlatformEndpointOptions,
+    store: PlatformStoreStandIn,
+  ): Promise<PlatformEndpointStandIn> {
+    const endpoint = new PlatformEndpointStandIn(options, store);
+    await new Promise<void>(resolve =>
+      endpoint.server.listen(0, '127.0.0.1', resolve),
+    );
+    endpoint.register();
+    return endpoint;
+  }
+
+  /** IP number and port. */
+  get address(): string {
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  /** Models in the accelerator. */
+  get models(): readonly string[] {
+    return [...this.held.keys()];
+  }
+
+  /** Writes the endpoint's row. */
+  register(state: 'ready' | 'draining' = 'ready'): void {
+    const {id, service, dataCentre} = this.options;
+    this.store.put('servers', id, {
+      service,
+      address: this.address,
+      zone: dataCentre ?? 'zone-a',
+      version: 'v1',
+      slots: 4,
+      state,
+      cold_remaining_ms: 0,
+      stage: 'combined',
+      models: this.heldModels(),
+      available: {in_memory: [], on_disk: []},
+      sequence: 1,
+      born: this.born,
+    });
+  }
+
+  /** Ends the process; its row stays until it lapses. */
+  async stop(): Promise<void> {
+    this.server.closeAllConnections();
+    await new Promise(resolve => this.server.close(resolve));
+  }
+
+  private heldModels() {
+    return [...this.held].map(([name, adapters]) => ({
+      name,
+      version: 1,
+      adapters: [...adapters],
+    }));
+  }
+
+  private async answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = await readRequestBody(request);
+    const path = request.url ?? '/';
+    if (path === '/limpetdale/order') {
+      this.takeOrder(response, body);
+      return;
+    }
+    if (path === '/limpetdale/report') {
+      const report = {
+        stage: 'combined',
+        models: this.heldModels(),
+        busy: this.busy,
+        sequence: this.accepted,
+        pending: [],
+      };
+      response.writeHead(200).end(JSON.stringify(report));
+      return;
+    }
+    this.run(request, response, body);
+  }
+
+  private run(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: Buffer,
+  ): void {
+    const trouble = this.nextTrouble();
+    const {headers} = request;
+    const target = String(headers['model'] ?? '');
+    const [model = '', adapter] = target.split('/');
+    const isMissing =
+      target !== '' &&
+      (!this.held.has(model) ||
+        (adapter !== undefined && !this.held.get(model)?.has(adapter)));
+    const expected = headers['expect-instance'];
+    if (isMissing || (expected !== undefined && expected !== this.options.id)) {
+      response.writeHead(421, {'Not-Executed': '1'}).end();
+      return;
+    }
+    if (trouble === 'sheds') {
+      response.writeHead(503, {'Not-Executed': '1'}).end();
+      return;
+    }
+    this.ran.push({
+      method: request.method ?? '',
+      path: request.url ?? '',
+      headers,
+      body: body.toString(),
+    });
+    this.respond(request, response, trouble, target !== '');
+  }
+
+  private respond(
+    request: IncomingMessage,
+    response: ServerResponse,
+    trouble: EndpointTrouble,
+    isStream: boolean,
+  ): void {
+    const own = {
+      'Request-Id': request.headers['request-id'] ?? '',
+      'Server-Signature': `signature-of-${this.options.id}`,
+    };
+    const whole = 'the whole answer';
+    switch (trouble) {
+      case 'hangs':
+        return;
+      case 'loses_answer':
+        request.socket.destroy();
+        return;
+      case 'fails':
+        response.writeHead(500, own).end('failed');
+        return;
+      case 'unsigned':
+        response.writeHead(200, {'Request-Id': own['Request-Id']}).end(whole);
+        return;
+      case 'answers_other':
+        response.writeHead(200, {...own, 'Request-Id': 'another'}).end(whole);
+        return;
+      case 'cuts_body':
+        response.writeHead(200, {...own, 'Content-Length': 100});
+        response.write('half of');
+        setTimeout(() => request.socket.destroy(), 10);
+        return;
+      case 'unframed_reset':
+        request.socket.write(
+          `HTTP/1.1 200 OK\r\nRequest-Id: ${String(own['Request-Id'])}\r\n` +
+            `Server-Signature: s\r\nConnection: close\r\n\r\nhalf of`,
+        );
+        setTimeout(() => request.socket.resetAndDestroy(), 10);
+        return;
+      case 'extra_answer':
+        response.writeHead(200, {...own, 'Content-Length': whole.length});
+        response.end(whole, () => {
+          request.socket.write(
+            'HTTP/1.1 200 OK\r\nRequest-Id: another\r\nServer-Signature: s\r\n' +
+              'Content-Length: 5\r\n\r\nextra',
+          );
+        });
+        return;
+      default:
+        if (isStream) this.stream(request, response, own);
+        else response.writeHead(200, own).end(whole);
+    }
+  }
+
+  private stream(
+    request: IncomingMessage,
+    response: ServerResponse,
+    own: Record<string, string | string[]>,
+  ): void {
+    const start = Number(request.headers['last-event-id'] ?? 0);
+    response.writeHead(200, {...own, 'Content-Type': 'text/event-stream'});
+    const events = this.options.events ?? 3;
+    for (let id = start + 1; id <= events; id++) {
+      response.write(`id: ${id}\ndata: event ${id}\n\n`);
+    }
+    response.end();
+  }
+
+  private takeOrder(response: ServerResponse, body: Buffer): void {
+    const order = JSON.parse(body.toString()) as {
+      operation: 'load' | 'unload';
+      model: string;
+      adapter?: string;
+      if_revision?: number;
+      holder: string;
+      fencing_token: number;
+    };
+    if (
+      this.busy ||
+      (order.if_revision !== undefined && order.if_revision !== this.accepted)
+    ) {
+      response.writeHead(409).end();
+      return;
+    }
+    this.accepted++;
+    this.orders.push(order);
+    const adapters = this.held.get(order.model);
+    if (order.adapter !== undefined) {
+      if (order.operation === 'load') adapters?.add(order.adapter);
+      else adapters?.delete(order.adapter);
+      response.writeHead(order.operation === 'load' ? 202 : 200).end();
+      return;
+    }
+    this.busy = true;
+    response.writeHead(202).end();
+    setTimeout(() => {
+      if (order.operation === 'load') this.held.set(order.model, new Set());
+      else this.held.delete(order.model);
+      this.busy = false;
+      this.register();
+    }, this.options.loadMilliseconds ?? 20);
+  }
+
+  private nextTrouble(): EndpointTrouble {
+    if (this.troubles === undefined) return this.trouble;
+    if (this.troubles === 0) return 'none';
+    this.troubles--;
+    return this.trouble;
+  }
+}
