Reserve an engine for a load and trust only reports for what it holds

A report of a busy engine was taken as settled: its order count was current but the model on its way was missing from its list, and the next load fitted only without it. Rows read anew after lost history could also bring back an older list. Ruled out: the order condition itself (engines refuse a stale count). An eviction was also not followed by its load, which let two models swap places on one engine, and a refused caller left no demand behind.

--- a/src/deployment/endpoint_record.ts
+++ b/src/deployment/endpoint_record.ts
@@ -8,6 +8,8 @@
 /** What an endpoint says of itself in the store. */
 export interface EndpointRecord {
   readonly id: string;
+  /** Version of the row that the record was read from. */
+  readonly rowVersion: number;
   readonly service: string;
   /** IP number and port. */
   readonly address: string;
--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -39,6 +39,14 @@
 /** Pause after which a refused caller may find room. */
 const RETRY_MILLISECONDS = 500;
 
+/** Time in which refused callers are counted as demand: they come back. */
+const REFUSAL_DEMAND_MILLISECONDS = 2500;
+
+interface RefusedDemand {
+  readonly request: RoutedRequest;
+  readonly at: number;
+}
+
 interface Waiter {
   readonly request: RoutedRequest;
   readonly since: number;
@@ -48,6 +56,7 @@
 /** Chooses endpoints; requests for models that no engine holds wait for a load. */
 export class EndpointRouter implements EndpointSource {
   private readonly waiters = new Map<string, Set<Waiter>>();
+  private readonly refused = new Map<string, RefusedDemand>();
   private readonly arrivals = new Map<string, ArrivalCount>();
 
   constructor(private readonly options: EndpointRouterOptions) {
@@ -110,7 +119,26 @@
   /** Targets for which requests of this host wait. */
   waiting(): LoadReport['waiting'] {
     const now = this.options.clock.monotonicMilliseconds();
-    return [...this.waiters.values()].flatMap(waiters => {
+    const refused = [...this.refused].flatMap(([key, {request, at}]) => {
+      if (now - at > REFUSAL_DEMAND_MILLISECONDS) this.refused.delete(key);
+      if (!this.refused.has(key) || this.waiters.has(key)) return [];
+      const target = targetOf(request.traits);
+      const {service, priority} = request;
+      if (this.options.replicas.holders(service.name, target).length > 0) {
+        return [];
+      }
+      const waitedMilliseconds = now - at;
+      return [
+        {
+          service: service.name,
+          target,
+          requests: 1,
+          priority,
+          waitedMilliseconds,
+        },
+      ];
+    });
+    const waiting = [...this.waiters.values()].flatMap(waiters => {
       const list = [...waiters];
       const [first] = list;
       if (first === undefined) return [];
@@ -125,6 +153,7 @@
         },
       ];
     });
+    return [...waiting, ...refused];
   }
 
   /** Requests for each model since the start. */
@@ -165,6 +194,8 @@
     const expectedAt =
       this.options.replicas.expectedAt(request.service.name, model) ?? now;
     if (now < until && expectedAt < until) return undefined;
+    this.refused.set(`${request.service.name} ${target}`, {request, at: now});
+    this.options.demandChanged();
     return refusal(
       REQUEST_ERROR_CODES.noReplica,
       `No engine can have "${target}" within the caller's patience`,
--- a/src/engines/engine_state.ts
+++ b/src/engines/engine_state.ts
@@ -17,8 +17,6 @@
   adapters: Set<string>;
   /** Orders that the engine has accepted; unknown until its first report. */
   ordersAccepted: number | undefined;
-  /** Monotonic time of the last order that changed models or adapters. */
-  changedAt = Number.NEGATIVE_INFINITY;
   pending: PendingOrder | undefined;
   /** Models and adapters that hosts no longer use, before they are unloaded. */
   readonly withdrawn = new Set<string>();
@@ -28,6 +26,10 @@
   isOrdering = false;
   /** Whether the order count is in doubt and a report is needed. */
   isUncertain = true;
+  /** Whether the engine did not answer the last call. */
+  isUnreachable = false;
+  /** Model that has this engine's next load, while others make room for it. */
+  reservedFor: string | undefined;
   /** Weights in the engine's main memory and on its disk. */
   inMemory: ReadonlySet<string>;
   onDisk: ReadonlySet<string>;
@@ -40,28 +42,28 @@
   }
 
   /**
-   * Takes a row of the same process. A row that may have been written before
-   * the last order took effect only settles that order.
+   * Takes a newer row of the same process. Rows lag behind orders, so a row
+   * only settles the order that is under way; what the engine holds follows
+   * from its reports and the orders since.
    */
-  takeRow(record: EndpointRecord, now: number): void {
+  takeRow(record: EndpointRecord): void {
     this.record = record;
     this.inMemory = new Set(record.inMemory);
     this.onDisk = new Set(record.onDisk);
-    const isRecent = now - this.changedAt < ROW_LAG_MILLISECONDS;
-    if (this.pending !== undefined) {
-      this.settlePending(record.models, now);
-    } else if (!isRecent) {
-      this.takeModels(record.models);
-    }
+    if (this.pending !== undefined) this.settlePending(record.models);
   }
 
-  /** Takes a report that was asked for while no order was under way. */
-  takeReport(report: EngineReport, now: number): void {
+  /**
+   * Takes a report. While the engine carries out an order that this manager
+   * does not know of, its models will still change without another count.
+   */
+  takeReport(report: EngineReport): void {
+    this.isUnreachable = false;
     this.ordersAccepted = report.ordersAccepted;
-    this.isUncertain = false;
     this.takeModels(report.models);
     for (const adapter of report.pendingAdapters) this.adapters.add(adapter);
-    if (this.pending !== undefined) this.settlePending(report.models, now);
+    if (this.pending !== undefined) this.settlePending(report.models);
+    this.isUncertain = report.isBusy && this.pending === undefined;
   }
 
   /** What hosts may send requests for. */
@@ -78,21 +80,25 @@
     this.adapters = adaptersOf(models);
   }
 
-  private settlePending(models: EndpointRecord['models'], now: number): void {
+  private settlePending(models: EndpointRecord['models']): void {
     const {pending} = this;
     if (pending === undefined) return;
     const isThere = models.some(model => model.name === pending.model);
     if (isThere !== (pending.operation === 'load')) return;
     this.pending = undefined;
-    this.changedAt = now;
     this.withdrawn.delete(pending.model);
-    this.takeModels(models);
+    if (pending.operation === 'load') {
+      this.models.add(pending.model);
+      return;
+    }
+    this.models.delete(pending.model);
+    for (const adapter of [...this.adapters]) {
+      if (adapter.startsWith(`${pending.model}/`))
+        this.adapters.delete(adapter);
+    }
   }
 }
 
-/** Time after an order in which a row may still show the state before it. */
-const ROW_LAG_MILLISECONDS = 1500;
-
 function adaptersOf(models: EndpointRecord['models']): Set<string> {
   return new Set(
     models.flatMap(model =>
--- a/src/engines/mod.ts
+++ b/src/engines/mod.ts
@@ -24,6 +24,7 @@
   type PlannedEngine,
   type PlannedLoad,
   planPlacement,
+  type ReplicaRange,
   tierOn,
   wantedReplicas,
 } from './plan_placement.ts';
--- a/src/engines/plan_placement.ts
+++ b/src/engines/plan_placement.ts
@@ -69,16 +69,21 @@
 /** Longest load that a replica nobody waits for may cost. */
 const LOAD_PENALTY_PER_REQUEST_RATE = 20_000;
 
-/** Replicas that the demand for a model calls for. */
+/** Replicas of a model below which some are added, and above which some may go. */
+export interface ReplicaRange {
+  readonly fewest: number;
+  readonly most: number;
+}
+
+/** Replicas that the demand for a model calls for; the range avoids swings. */
 export function wantedReplicas(
   terms: EnginePoolTerms,
   ratePerSecond: number,
   inFlight: number,
-): number {
-  if (ratePerSecond < REPLICATED_RATE_PER_SECOND) return 1;
-  return (
-    2 + Math.floor(inFlight / Math.max(1, terms.slots * REPLICA_OCCUPANCY))
-  );
+): ReplicaRange {
+  if (ratePerSecond < REPLICATED_RATE_PER_SECOND) return {fewest: 1, most: 1};
+  const load = inFlight / Math.max(1, terms.slots * REPLICA_OCCUPANCY);
+  return {fewest: 2 + Math.floor(load), most: 2 + Math.ceil(load + 0.5)};
 }
 
 /**
@@ -131,7 +136,7 @@
         ([model]) =>
           !this.isComing(model) &&
           this.replicasOf(model) > 0 &&
-          this.replicasOf(model) < this.wanted(model),
+          this.replicasOf(model) < this.wanted(model).fewest,
       )
       .sort(([, left], [, right]) => right.ratePerSecond - left.ratePerSecond);
     for (const [model] of short) this.add(model, 'replica');
@@ -227,7 +232,7 @@
     const demand = this.input.demand.get(model);
     const rate = demand?.ratePerSecond ?? 0;
     const replicas = this.replicasOf(model);
-    const isSpare = replicas > this.wanted(model);
+    const isSpare = replicas > this.wanted(model).most;
     const isBusyModel = rate >= REPLICATED_RATE_PER_SECOND;
     const running = engine.inFlight.get(model) ?? 0;
     return {
@@ -255,7 +260,7 @@
     return count * megabytes;
   }
 
-  private wanted(model: string): number {
+  private wanted(model: string): ReplicaRange {
     const rate = this.input.demand.get(model)?.ratePerSecond ?? 0;
     const inFlight = this.input.engines.reduce(
       (sum, engine) => sum + (engine.inFlight.get(model) ?? 0),
--- a/src/engines/pool_manager.ts
+++ b/src/engines/pool_manager.ts
@@ -54,6 +54,15 @@
 /** Slack after which an order that should have taken effect is asked about. */
 const ORDER_SLACK_MILLISECONDS = 1500;
 
+/** Wait of a request after which an engine that should serve it is asked. */
+const DOUBT_MILLISECONDS = 400;
+
+/** Longest wait for the runs of a model that is unloaded. */
+const EVICTION_MILLISECONDS = 8000;
+
+/** Pause between two looks at an unload that is under way. */
+const EVICTION_CHECK_MILLISECONDS = 20;
+
 /** Pause between two reports of one engine while its state is in doubt. */
 const REPORT_PAUSE_MILLISECONDS = 400;
 
@@ -123,6 +132,7 @@
     this.announceChanges();
     if (!lease.mayAct() || this.budget === undefined) return;
     const demand = this.demandByModel(service.name);
+    this.doubtHolders(demand);
     const loads = planPlacement({
       terms,
       engines: this.plannedEngines(terms, now),
@@ -174,7 +184,7 @@
         continue;
       }
       const {pending} = known;
-      known.takeRow(record, now);
+      known.takeRow(record);
       this.noteSettled(known, pending, now);
     }
     for (const engine of this.engines.values()) this.checkOverdue(engine, now);
@@ -206,7 +216,8 @@
     const isOverdue =
       pending !== undefined &&
       now > pending.expectedAt + ORDER_SLACK_MILLISECONDS;
-    if ((isOverdue || engine.isUncertain) && !engine.isOrdering) {
+    const isInDoubt = isOverdue || engine.isUncertain || engine.isUnreachable;
+    if (isInDoubt && !engine.isOrdering) {
       void this.askForReport(engine);
     }
   }
@@ -219,27 +230,47 @@
     if (report.ok) {
       const {pending} = engine;
       const now = clock.monotonicMilliseconds();
-      engine.takeReport(report.value, now);
+      engine.takeReport(report.value);
       this.noteSettled(engine, pending, now);
       if (!report.value.isBusy && engine.pending !== undefined) {
-        // The engine has dropped the order, or never began it.
+        // The engine has dropped the order, or has not begun it: then the next
+        // order that it accepts makes this one void.
         if (engine.pending.tier === 'remote') this.budget?.abandon();
         engine.withdrawn.delete(engine.pending.model);
         engine.pending = undefined;
       }
+      if (engine.isUncertain) await this.pauseReports();
       engine.isOrdering = false;
       this.wake();
       return;
     } else {
+      engine.isUnreachable = true;
       logger.event('engineReportFailed', {
         endpoint: engine.record.id,
         ...report.error,
       });
     }
-    await sleep(clock, REPORT_PAUSE_MILLISECONDS, this.stopping.signal);
+    await this.pauseReports();
     engine.isOrdering = false;
   }
 
+  private pauseReports(): Promise<void> {
+    const {clock} = this.options;
+    return sleep(clock, REPORT_PAUSE_MILLISECONDS, this.stopping.signal);
+  }
+
+  /** Asks engines that should hold a model for which requests wait all the same. */
+  private doubtHolders(demand: ReadonlyMap<string, ModelDemand>): void {
+    for (const [model, {waiting, waitedMilliseconds}] of demand) {
+      if (waiting === 0 || waitedMilliseconds < DOUBT_MILLISECONDS) continue;
+      for (const engine of this.engines.values()) {
+        if (engine.models.has(model) && !engine.withdrawn.has(model)) {
+          engine.isUncertain = true;
+        }
+      }
+    }
+  }
+
   private demandByModel(service: string): ReadonlyMap<string, ModelDemand> {
     const demand = new Map<string, ModelDemand>();
     const terms = this.options.service()?.engines;
@@ -274,7 +305,10 @@
     now: number,
   ): readonly PlannedEngine[] {
     const inFlight = this.options.load.inFlight();
-    return [...this.engines.values()].map(engine => {
+    const reachable = [...this.engines.values()].filter(
+      engine => !engine.isUnreachable,
+    );
+    return reachable.map(engine => {
       const {pending} = engine;
       const remaining =
         pending === undefined ? 0 : Math.max(1, pending.expectedAt - now);
@@ -283,7 +317,8 @@
         id: engine.record.id,
         models: engine.models,
         adapters: engine.adapters,
-        loading: pending?.operation === 'load' ? pending.model : undefined,
+        loading:
+          pending?.operation === 'load' ? pending.model : engine.reservedFor,
         busyMilliseconds: isTaken ? Math.max(remaining, 50) : remaining,
         inMemory: engine.inMemory,
         onDisk: engine.onDisk,
@@ -304,17 +339,18 @@
     const {clock, logger} = this.options;
     logger.event('loadDecided', {...load, epoch: this.epoch});
     engine.isOrdering = true;
+    engine.reservedFor = load.model;
+    if (load.tier === 'remote')
+      this.budget?.begin(clock.monotonicMilliseconds());
+    let isUnderWay = false;
     try {
-      const [eviction] = load.evictions;
-      if (eviction !== undefined) {
-        // The load itself is decided anew when the engine has room.
-        await this.evict(engine, eviction);
-        return;
+      for (const eviction of load.evictions) {
+        if (!(await this.evict(engine, eviction))) return;
       }
       const startedAt = clock.monotonicMilliseconds();
       const outcome = await this.order(engine, 'load', load.model, undefined);
       if (outcome !== 'accepted' && outcome !== 'unknown') return;
-      if (load.tier === 'remote') this.budget?.begin(startedAt);
+      isUnderWay = true;
       engine.pending = {
         operation: 'load',
         model: load.model,
@@ -323,30 +359,45 @@
         expectedAt: startedAt + loadTime(model, load.tier),
       };
     } finally {
+      if (load.tier === 'remote' && !isUnderWay) this.budget?.abandon();
+      engine.reservedFor = undefined;
       engine.isOrdering = false;
       this.announceChanges();
     }
   }
 
-  private async evict(engine: EngineState, model: string): Promise<void> {
+  /** Unloads a model and waits until it is gone; false when it may not be. */
+  private async evict(engine: EngineState, model: string): Promise<boolean> {
     const {clock} = this.options;
     engine.withdrawn.add(model);
     this.announceChanges();
     await sleep(clock, WITHDRAWAL_MILLISECONDS);
     const startedAt = clock.monotonicMilliseconds();
     const outcome = await this.order(engine, 'unload', model, undefined);
-    if (outcome === 'accepted' || outcome === 'unknown') {
-      engine.pending = {
-        operation: 'unload',
-        model,
-        tier: undefined,
-        startedAt,
-        expectedAt: startedAt,
-      };
-      return;
+    if (outcome === 'done') {
+      engine.models.delete(model);
+      engine.withdrawn.delete(model);
+      return true;
+    }
+    if (outcome !== 'accepted' && outcome !== 'unknown') {
+      engine.withdrawn.delete(model);
+      return false;
     }
-    engine.withdrawn.delete(model);
-    if (outcome === 'done') engine.models.delete(model);
+    engine.pending = {
+      operation: 'unload',
+      model,
+      tier: undefined,
+      startedAt,
+      expectedAt: startedAt,
+    };
+    if (outcome === 'unknown') return false;
+    while (engine.pending !== undefined) {
+      const waited = clock.monotonicMilliseconds() - startedAt;
+      if (waited > EVICTION_MILLISECONDS) return false;
+      if (this.engines.get(engine.record.id) !== engine) return false;
+      await sleep(clock, EVICTION_CHECK_MILLISECONDS);
+    }
+    return !engine.models.has(model);
   }
 
   /** Gives one order, if the lease still allows it at this moment. */
@@ -383,9 +434,9 @@
     metrics.increment('limpetdale_orders_total', {operation, outcome});
     if (outcome === 'accepted' || outcome === 'done') {
       engine.ordersAccepted = expectedOrders + 1;
-      engine.changedAt = this.options.clock.monotonicMilliseconds();
-    } else if (outcome !== 'unsent') {
+    } else {
       engine.isUncertain = true;
+      if (outcome === 'unsent') engine.isUnreachable = true;
     }
     return outcome;
   }
@@ -401,16 +452,11 @@
       startedAt: engine.record.startedAt,
       targets: engine.targets(),
     }));
-    const expected = [...this.engines.values()].flatMap(({pending}) =>
-      pending?.operation === 'load'
-        ? [
-            {
-              target: pending.model,
-              readyInMilliseconds: Math.max(0, pending.expectedAt - now),
-            },
-          ]
-        : [],
-    );
+    const expected = [...this.engines.values()].flatMap(({pending}) => {
+      if (pending?.operation !== 'load') return [];
+      const readyInMilliseconds = Math.max(0, pending.expectedAt - now);
+      return [{target: pending.model, readyInMilliseconds}];
+    });
     const content = JSON.stringify([
       engines,
       expected.map(({target}) => target),
--- a/src/engines/replica_map.ts
+++ b/src/engines/replica_map.ts
@@ -29,7 +29,7 @@
  */
 export class ReplicaMap {
   private readonly announced = new Map<string, AnnouncedEngine>();
-  private readonly expectedReadyAt = new Map<string, number>();
+  private readonly expectedReadyAt = new Map<string, Map<string, number>>();
   private readonly absentUntil = new Map<string, number>();
   private readonly epochs = new Map<string, number>();
   private readonly listeners = new Set<() => void>();
@@ -56,12 +56,16 @@
       for (const target of targets)
         this.absentUntil.delete(`${endpoint} ${target}`);
     }
-    for (const {target, readyInMilliseconds} of expected) {
-      this.expectedReadyAt.set(
-        `${service} ${target}`,
-        receivedAt + readyInMilliseconds,
-      );
-    }
+    // Each announcement names all loads that are under way.
+    this.expectedReadyAt.set(
+      service,
+      new Map(
+        expected.map(({target, readyInMilliseconds}) => [
+          target,
+          receivedAt + readyInMilliseconds,
+        ]),
+      ),
+    );
     for (const listener of this.listeners) listener();
   }
 
@@ -75,7 +79,7 @@
 
   /** Monotonic time at which the manager expects a replica of a target. */
   expectedAt(service: string, target: string): number | undefined {
-    return this.expectedReadyAt.get(`${service} ${target}`);
+    return this.expectedReadyAt.get(service)?.get(target);
   }
 
   /** Notes that an engine refused a target that it was believed to hold. */
--- a/src/entry/platform_adapter.ts
+++ b/src/entry/platform_adapter.ts
@@ -28,7 +28,11 @@
   /** @returns Undefined when the row holds no configuration. */
   decodeConfiguration(value: Buffer): DeploymentConfiguration | undefined;
   /** @returns Undefined when the row names no usable endpoint. */
-  decodeEndpoint(id: string, value: Buffer): EndpointRecord | undefined;
+  decodeEndpoint(
+    id: string,
+    version: number,
+    value: Buffer,
+  ): EndpointRecord | undefined;
   /** @returns Undefined when the path is no address look-up. */
   readAddressQuestion(url: string): AddressQuestion | undefined;
   /** Answer of the address look-up. */
--- a/src/entry/store_followers.ts
+++ b/src/entry/store_followers.ts
@@ -123,9 +123,9 @@
   ): ReadonlyMap<string, EndpointRecord | undefined> {
     const {platform, logger} = this.options;
     return new Map(
-      rows.map(({key, value}) => {
+      rows.map(({key, value, version}) => {
         if (value === undefined) return [key, undefined];
-        const record = platform.decodeEndpoint(key, value);
+        const record = platform.decodeEndpoint(key, version, value);
         if (record === undefined) {
           logger.event('rowUnreadable', {
             table: platform.endpointTable,
--- a/src/fleet/endpoint_registry.ts
+++ b/src/fleet/endpoint_registry.ts
@@ -89,6 +89,8 @@
       known.incarnation === incarnationOf(record) &&
       known.record.address === record.address
     ) {
+      // A table that is read anew shows rows again that are known already.
+      if (record.rowVersion <= known.record.rowVersion) return;
       known.record = record;
     } else {
       known?.agent.destroy();
--- a/src/platform/create_platform.ts
+++ b/src/platform/create_platform.ts
@@ -18,7 +18,8 @@
     endpointTable: 'servers',
     readinessPath: '/limpetdale/readiness',
     decodeConfiguration: value => decodeConfiguration(parse(value)),
-    decodeEndpoint: (id, value) => decodeEndpoint(id, parse(value)),
+    decodeEndpoint: (id, version, value) =>
+      decodeEndpoint(id, version, parse(value)),
     readAddressQuestion,
     // `ttl_s` is in seconds, unlike most times on the wire.
     addressAnswer: (addresses, lifetimeMilliseconds) => ({
--- a/src/platform/decode_endpoint.ts
+++ b/src/platform/decode_endpoint.ts
@@ -15,11 +15,13 @@
  * the field of that name in an engine's report counts accepted orders.
  *
  * @param id Key of the row.
+ * @param rowVersion Version of the row in the store.
  * @param value Parsed JSON of the row.
  * @returns The record; undefined when the row names no usable endpoint.
  */
 export function decodeEndpoint(
   id: string,
+  rowVersion: number,
   value: unknown,
 ): EndpointRecord | undefined {
   if (!isWireObject(value)) return undefined;
@@ -32,6 +34,7 @@
   const remaining = value['remaining_ms'];
   return {
     id,
+    rowVersion,
     service,
     address,
     dataCentre: textOf(value['zone']),
--- a/src/relay/_request_log.ts
+++ b/src/relay/_request_log.ts
@@ -75,7 +75,7 @@
     this.end(refused ? 'refused' : 'failed');
     this.options.logger.event(refused ? 'requestRefused' : 'requestFailed', {
       ...this.fields(),
-      ...error,
+      error,
       status,
     });
   }
