Hand a pool over faster and ignore reports from before the last order

It now resigns to its peers when its renewals fail, and says when its last order was. A report that lagged behind the last order brought an evicted model back. Models that had just become busy waited behind single requests of a higher priority; waiting models are now ordered by what their load gains.

--- a/src/engines/engine_state.ts
+++ b/src/engines/engine_state.ts
@@ -11,6 +11,12 @@
   readonly expectedAt: number;
 }
 
+/**
+ * Reports that may lag behind the known order count before the count itself is
+ * taken for wrong; a report lags by some hundred milliseconds.
+ */
+const MAXIMUM_STALE = 4;
+
 /** What the manager of a pool knows of one engine process. */
 export class EngineState {
   models: Set<string>;
@@ -28,6 +34,8 @@
   isUncertain = true;
   /** Whether the engine did not answer the last call. */
   isUnreachable = false;
+  /** Reports in a row that counted fewer orders than were accepted. */
+  private staleReports = 0;
   /** Monotonic time until which its state is not doubted again. */
   trustedUntil = Number.NEGATIVE_INFINITY;
   /** Model that has this engine's next load, while others make room for it. */
@@ -56,16 +64,28 @@
   }
 
   /**
-   * Takes a report. While the engine carries out an order that this manager
-   * does not know of, its models will still change without another count.
+   * Takes a report. Reports lag: one that counts fewer orders than the engine
+   * has accepted says nothing new. While the engine carries out an order that
+   * this manager does not know of, its models will still change without
+   * another count.
+   *
+   * @returns Whether the report was current.
    */
-  takeReport(report: EngineReport): void {
+  takeReport(report: EngineReport): boolean {
     this.isUnreachable = false;
+    const known = this.ordersAccepted ?? 0;
+    if (report.ordersAccepted < known && this.staleReports < MAXIMUM_STALE) {
+      this.staleReports++;
+      this.isUncertain = true;
+      return false;
+    }
+    this.staleReports = 0;
     this.ordersAccepted = report.ordersAccepted;
     this.takeModels(report.models);
     for (const adapter of report.pendingAdapters) this.adapters.add(adapter);
     if (this.pending !== undefined) this.settlePending(report.models);
     this.isUncertain = report.isBusy && this.pending === undefined;
+    return true;
   }
 
   /** What hosts may send requests for. */
--- a/src/engines/engine_state_test.ts
+++ b/src/engines/engine_state_test.ts
@@ -55,6 +55,18 @@
     expect([...engine.models]).toEqual(['model-a']);
   });
 
+  // Guards against a report from before the last order, which brought an
+  // evicted model back and dropped the load that followed (quiet-1 of Kaplama).
+  test('a report that counts fewer orders changes nothing', () => {
+    const engine = new EngineState(RECORD);
+    engine.takeReport(report(false, 4, 'model-a'));
+    engine.ordersAccepted = 6;
+    engine.models = new Set(['model-b']);
+    expect(engine.takeReport(report(false, 4, 'model-a'))).toBe(false);
+    expect([...engine.models]).toEqual(['model-b']);
+    expect(engine.isUncertain).toBe(true);
+  });
+
   const settled = [
     {operation: 'load', rowModels: ['model-a', 'model-b'], isSettled: true},
     {operation: 'load', rowModels: ['model-a'], isSettled: false},
--- a/src/engines/mod.ts
+++ b/src/engines/mod.ts
@@ -18,6 +18,7 @@
 } from './engine_control.ts';
 export {EngineState, type PendingOrder} from './engine_state.ts';
 export {
+  gain,
   type LoadTier,
   type ModelDemand,
   type PlacementInput,
--- a/src/engines/plan_placement.ts
+++ b/src/engines/plan_placement.ts
@@ -63,7 +63,7 @@
  * replica is wanted. Prompts are read between the tokens of running requests,
  * so first tokens are late long before the slots are full.
  */
-const REPLICA_OCCUPANCY = 0.2;
+const REPLICA_OCCUPANCY = 0.35;
 
 /** Expected wait for the runs of a model that is evicted while in use. */
 const RUNNING_EVICTION_MILLISECONDS = 2500;
@@ -71,6 +71,26 @@
 /** Longest load that a replica nobody waits for may cost. */
 const LOAD_PENALTY_PER_REQUEST_RATE = 20_000;
 
+/** Time over which the arrivals for a waiting model count as served by its load. */
+const GAIN_SECONDS = 2;
+
+/** Wait by which the requests for a model weigh twice as much, so that none starves. */
+const AGEING_MILLISECONDS = 2000;
+
+/** Weight of one rank of priority against the number of requests. */
+const PRIORITY_BASE = 1.3;
+
+/**
+ * What a load of a model gains: the requests that it serves soon, more urgent
+ * and older ones weighing more. Many requests for a model that has just become
+ * busy go before single ones for rare models, whose weight grows as they wait.
+ */
+export function gain(demand: ModelDemand): number {
+  const served = demand.waiting + demand.ratePerSecond * GAIN_SECONDS;
+  const ageing = 1 + demand.waitedMilliseconds / AGEING_MILLISECONDS;
+  return (served * ageing) / PRIORITY_BASE ** demand.priority;
+}
+
 /** Replicas of a model below which some are added, and above which some may go. */
 export interface ReplicaRange {
   readonly fewest: number;
@@ -116,15 +136,11 @@
     this.preloads = input.preloadsAllowed;
   }
 
-  /** Loads models for which requests wait, most urgent and oldest first. */
+  /** Loads models for which requests wait, those with the most to gain first. */
   serveWaiting(): void {
     const waiting = [...this.input.demand]
       .filter(([model, demand]) => demand.waiting > 0 && !this.isComing(model))
-      .sort(
-        ([, left], [, right]) =>
-          left.priority - right.priority ||
-          right.waitedMilliseconds - left.waitedMilliseconds,
-      );
+      .sort(([, left], [, right]) => gain(right) - gain(left));
     for (const [model] of waiting) {
       if (this.replicasOf(model) > 0) continue;
       this.add(model, 'waiting');
@@ -184,6 +200,11 @@
     if (isBusy && reason !== 'waiting') return undefined;
     const tier = tierOn(engine, model.name);
     if (tier === 'remote' && this.remoteLoads <= 0) return undefined;
+    // A remote load takes the engine's turn for seconds, which requests that
+    // wait for other models need more.
+    if (tier === 'remote' && reason === 'replica' && this.hasWaiting()) {
+      return undefined;
+    }
     const evictions = this.evictionsFor(engine, model, reason);
     if (evictions === undefined) return undefined;
     const loadMilliseconds = loadTime(model, tier);
@@ -264,6 +285,10 @@
     return count * megabytes;
   }
 
+  private hasWaiting(): boolean {
+    return [...this.input.demand.values()].some(({waiting}) => waiting > 0);
+  }
+
   private wanted(model: string): ReplicaRange {
     const rate = this.input.demand.get(model)?.ratePerSecond ?? 0;
     const inFlight = this.input.engines.reduce(
--- a/src/engines/plan_placement_test.ts
+++ b/src/engines/plan_placement_test.ts
@@ -156,6 +156,19 @@
     demand: {busy: steady(5)},
     expected: [['e2', 'busy', ['rare-2']]],
   },
+  {
+    // Seen on quiet-1 of Kaplama: a model that had just become busy waited ten
+    // seconds behind single requests for rare models of a higher priority.
+    name: 'a model that has become busy goes before single requests',
+    engines: [
+      engine('e1', ['rare-3', 'rare-4'], {onDisk: new Set(['busy', 'rare-1'])}),
+    ],
+    demand: {
+      'rare-1': {...waiting(), priority: 0, waitedMilliseconds: 2000},
+      busy: {...waiting(3), priority: 1, ratePerSecond: 4},
+    },
+    expected: [['e1', 'busy', ['rare-3']]],
+  },
   {
     name: 'nothing is loaded twice while it is on its way',
     engines: [
--- a/src/engines/pool_lease.ts
+++ b/src/engines/pool_lease.ts
@@ -1,3 +1,4 @@
+import {unreachable} from '../errors/mod.ts';
 import type {EventLogger} from '../observability/mod.ts';
 import type {RowStore} from '../stores/mod.ts';
 import {type Clock, sleep} from '../time/mod.ts';
@@ -15,6 +16,12 @@
   turnMilliseconds: number;
   /** Whether another holder has been heard from lately. */
   hearsHolder: () => boolean;
+  /**
+   * Tells the other hosts that this one has given the lease up.
+   *
+   * @param sinceOrder Milliseconds since its last order.
+   */
+  resigned?: (epoch: number, sinceOrder: number) => void;
   /** Called when the lease has been acquired. */
   acquired?: () => void;
   /** Number in [0, 1) that spreads the hosts' attempts. */
@@ -24,15 +31,18 @@
 /** Table of the leases. */
 export const LEASE_TABLE = 'leases';
 
-const RENEWAL_MILLISECONDS = 700;
+const RENEWAL_MILLISECONDS = 500;
 
 /** A holder acts this long after the start of its last renewal that succeeded. */
-const VALIDITY_MILLISECONDS = 1800;
+const VALIDITY_MILLISECONDS = 1400;
 
 /** A row that has not changed for this long may be taken over. */
-const TAKEOVER_MILLISECONDS = 2300;
+const TAKEOVER_MILLISECONDS = 1800;
 
-const WATCH_MILLISECONDS = 400;
+const WATCH_MILLISECONDS = 300;
+
+/** Time after which an order that was sent has arrived or been given up. */
+const ORDER_FLIGHT_MILLISECONDS = 1000;
 
 /** Pause of a host that lost a race for the lease. */
 const RACE_MILLISECONDS = 600;
@@ -65,6 +75,13 @@
   private renewedAt = Number.NEGATIVE_INFINITY;
   private renewedWallTime = 0;
   private observed: Observation | undefined;
+  /** Start of a renewal whose outcome is unknown. */
+  private unansweredRenewal:
+    {startedAt: number; startedWallTime: number} | undefined;
+  private lastOrderAt = Number.NEGATIVE_INFINITY;
+  private ordersUnderWay = 0;
+  /** A holder that has said that it gives no more orders. */
+  private resignation: {epoch: number; lastOrderAt: number} | undefined;
 
   constructor(private readonly options: PoolLeaseOptions) {}
 
@@ -88,14 +105,31 @@
     );
   }
 
+  /** Notes that an order is sent. */
+  beginOrder(): void {
+    this.ordersUnderWay++;
+    this.lastOrderAt = this.options.clock.monotonicMilliseconds();
+  }
+
+  /** Notes that an order was answered or given up. */
+  endOrder(): void {
+    this.ordersUnderWay--;
+  }
+
+  /** Notes that the holder of an epoch gives no more orders. */
+  receiveResignation(epoch: number, sinceOrder: number): void {
+    const now = this.options.clock.monotonicMilliseconds();
+    this.resignation = {epoch, lastOrderAt: now - sinceOrder};
+  }
+
   /** Acquires and renews the lease until {@link release}. */
   async run(): Promise<void> {
     const {signal} = this.stopping;
     const {clock} = this.options;
     while (!signal.aborted) {
       if (this.held !== undefined) {
-        await this.renew();
-        await sleep(clock, RENEWAL_MILLISECONDS, signal);
+        const isSettled = await this.renew();
+        if (isSettled) await sleep(clock, RENEWAL_MILLISECONDS, signal);
       } else if (this.options.hearsHolder()) {
         this.observed = undefined;
         await sleep(clock, WATCH_MILLISECONDS, signal);
@@ -112,12 +146,19 @@
     this.held = undefined;
     if (held === undefined) return;
     this.options.logger.event('leaseReleased', this.fields(held.epoch));
+    this.options.resigned?.(held.epoch, this.sinceLastOrder());
     await this.write(held.epoch, held.version, {
       released: true,
       active: true,
     });
   }
 
+  /** Negative while an order may still arrive. */
+  private sinceLastOrder(): number {
+    if (this.ordersUnderWay > 0) return -ORDER_FLIGHT_MILLISECONDS;
+    return this.options.clock.monotonicMilliseconds() - this.lastOrderAt;
+  }
+
   private sinceRenewal(): number {
     const {clock} = this.options;
     const steady = clock.monotonicMilliseconds() - this.renewedAt;
@@ -125,34 +166,64 @@
     return Math.max(steady, wall);
   }
 
-  private async renew(): Promise<void> {
-    const {clock, logger} = this.options;
+  /** @returns Whether to pause before the next renewal. */
+  private async renew(): Promise<boolean> {
+    const {clock} = this.options;
     const {held} = this;
-    if (held === undefined) return;
+    if (held === undefined) return true;
     const startedAt = clock.monotonicMilliseconds();
     const startedWallTime = clock.now().getTime();
     const outcome = await this.write(held.epoch, held.version, {
       released: false,
       active: startedAt >= held.actsFrom,
     });
-    if (this.held !== held || this.stopping.signal.aborted) return;
-    if (outcome.kind === 'committed') {
-      this.held = {...held, version: outcome.version};
-      this.renewedAt = startedAt;
-      this.renewedWallTime = startedWallTime;
-      return;
+    if (this.held !== held || this.stopping.signal.aborted) return true;
+    switch (outcome.kind) {
+      case 'committed':
+        this.held = {...held, version: outcome.version};
+        this.renewedAt = startedAt;
+        this.renewedWallTime = startedWallTime;
+        this.unansweredRenewal = undefined;
+        return true;
+      case 'failed':
+        this.unansweredRenewal ??= {startedAt, startedWallTime};
+        if (this.isHeld()) return false;
+        this.resign(held.epoch, 'no renewal succeeded in time');
+        return true;
+      case 'conflict':
+        return this.adopt(held, outcome.row);
+      default:
+        return unreachable(outcome);
     }
-    if (outcome.kind === 'failed') return;
-    // The row is another one's, or a renewal without an answer has happened.
-    if (outcome.row?.content.incarnation === this.options.incarnation) {
-      this.held = {...held, version: outcome.row.version};
-      return;
+  }
+
+  /** Goes on with a row that an unanswered renewal has written. */
+  private adopt(
+    held: {epoch: number; actsFrom: number},
+    row: {content: LeaseContent; version: number} | undefined,
+  ): boolean {
+    if (row?.content.incarnation !== this.options.incarnation) {
+      this.options.logger.event('leaseLost', {
+        ...this.fields(held.epoch),
+        holder: row?.content.holder,
+      });
+      this.held = undefined;
+      return true;
+    }
+    this.held = {...held, version: row.version};
+    if (this.unansweredRenewal !== undefined) {
+      this.renewedAt = this.unansweredRenewal.startedAt;
+      this.renewedWallTime = this.unansweredRenewal.startedWallTime;
+      this.unansweredRenewal = undefined;
     }
+    return false;
+  }
+
+  private resign(epoch: number, reason: string): void {
+    const {logger, resigned} = this.options;
     this.held = undefined;
-    logger.event('leaseLost', {
-      ...this.fields(held.epoch),
-      holder: outcome.row?.content.holder,
-    });
+    logger.event('leaseLost', {...this.fields(epoch), reason});
+    resigned?.(epoch, this.sinceLastOrder());
   }
 
   private async tryAcquire(): Promise<void> {
@@ -171,9 +242,12 @@
     if (this.observed?.version !== version) {
       this.observed = {version, firstSeenAt: now};
     }
+    const hasResigned =
+      content !== undefined && this.resignation?.epoch === content.epoch;
     const isFree =
       content === undefined ||
       content.released ||
+      hasResigned ||
       content.holder === this.options.hostId ||
       now - this.observed.firstSeenAt >= TAKEOVER_MILLISECONDS;
     if (!isFree) {
@@ -207,11 +281,7 @@
       await sleep(clock, RACE_MILLISECONDS, this.stopping.signal);
       return;
     }
-    // The former holder's last order is no later than its validity after the
-    // version that was seen first; a released lease has no later order.
-    const lastOrderBefore = former?.released
-      ? startedAt
-      : firstSeenAt + VALIDITY_MILLISECONDS;
+    const lastOrderBefore = this.lastOrderOf(former, startedAt, firstSeenAt);
     this.held = {
       epoch,
       version: outcome.version,
@@ -230,6 +300,21 @@
     });
   }
 
+  /** Latest time at which the former holder can have given an order. */
+  private lastOrderOf(
+    former: LeaseContent | undefined,
+    startedAt: number,
+    firstSeenAt: number,
+  ): number {
+    if (this.resignation?.epoch === former?.epoch) {
+      return this.resignation?.lastOrderAt ?? startedAt;
+    }
+    if (former?.released === true) return startedAt;
+    // It acts for its validity after its last renewal, which made the version
+    // that was seen first, or was made before it was seen.
+    return firstSeenAt + VALIDITY_MILLISECONDS;
+  }
+
   private async write(
     epoch: number,
     expectedVersion: number,
--- a/src/engines/pool_manager.ts
+++ b/src/engines/pool_manager.ts
@@ -48,9 +48,12 @@
 /** Pause between announcements without a change, which show that the manager lives. */
 const ANNOUNCEMENT_MILLISECONDS = 500;
 
-/** Loads ahead of demand that run at once. */
+/** Loads ahead of demand that run at once while no request waits for a load. */
 const PRELOAD_CONCURRENCY = 4;
 
+/** The same while requests wait: each load takes an engine's turn for seconds. */
+const BUSY_PRELOAD_CONCURRENCY = 2;
+
 /** Slack after which an order that should have taken effect is asked about. */
 const ORDER_SLACK_MILLISECONDS = 1500;
 
@@ -141,7 +144,10 @@
       engines: this.plannedEngines(terms, now),
       demand,
       remoteLoadsAllowed: this.budget.allowed(now),
-      preloadsAllowed: Math.max(0, PRELOAD_CONCURRENCY - this.budget.active),
+      preloadsAllowed: Math.max(
+        0,
+        this.preloadConcurrency(demand) - this.budget.active,
+      ),
     });
     for (const load of loads) void this.carryOut(load, terms);
     this.adapters.serve(
@@ -233,9 +239,9 @@
     if (report.ok) {
       const {pending} = engine;
       const now = clock.monotonicMilliseconds();
-      engine.takeReport(report.value);
+      const isCurrent = engine.takeReport(report.value);
       this.noteSettled(engine, pending, now);
-      if (!report.value.isBusy && engine.pending !== undefined) {
+      if (isCurrent && !report.value.isBusy && engine.pending !== undefined) {
         // The engine has dropped the order, or has not begun it: then the next
         // order that it accepts makes this one void.
         if (engine.pending.tier === 'remote') this.budget?.abandon();
@@ -313,6 +319,11 @@
     return demand;
   }
 
+  private preloadConcurrency(demand: ReadonlyMap<string, ModelDemand>): number {
+    const isWaiting = [...demand.values()].some(({waiting}) => waiting > 0);
+    return isWaiting ? BUSY_PRELOAD_CONCURRENCY : PRELOAD_CONCURRENCY;
+  }
+
   private isHeld(model: string): boolean {
     return [...this.engines.values()].some(
       engine => engine.models.has(model) && !engine.isUnreachable,
@@ -433,6 +444,7 @@
     }
     const expectedOrders = engine.ordersAccepted;
     if (expectedOrders === undefined) return 'unsent';
+    lease.beginOrder();
     const outcome = await control.order(engine.record, {
       operation,
       model,
@@ -441,6 +453,7 @@
       holder: hostId,
       fence: epoch,
     });
+    lease.endOrder();
     logger.event('orderGiven', {
       endpoint: engine.record.id,
       operation,
@@ -451,7 +464,10 @@
       outcome,
     });
     metrics.increment('limpetdale_orders_total', {operation, outcome});
-    if (outcome === 'accepted' || outcome === 'done') {
+    if (
+      outcome === 'accepted' ||
+      (outcome === 'done' && operation === 'unload')
+    ) {
       engine.ordersAccepted = expectedOrders + 1;
     } else {
       engine.isUncertain = true;
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -117,6 +117,10 @@
         demandChanged: () => container.get(PoolRuntimes).notify(),
         managerHeard: service =>
           container.get(PoolRuntimes).managerHeard(service),
+        managerResigned: (service, epoch, sinceOrder) =>
+          container
+            .get(PoolRuntimes)
+            .managerResigned(service, epoch, sinceOrder),
       }),
   );
 }
@@ -270,6 +274,13 @@
         hostId: self.hostId,
         incarnation: self.incarnation,
         orderTurnMilliseconds: settings.orderTurnMilliseconds,
+        resigned: (service, epoch, sinceOrderMilliseconds) =>
+          container.get(PeerNetwork).broadcast({
+            kind: 'lease_resigned',
+            service,
+            epoch,
+            sinceOrderMilliseconds,
+          }),
         announce: announcement => {
           container.get(ReplicaMap).receive(announcement);
           container
--- a/src/entry/fleet_exchange.ts
+++ b/src/entry/fleet_exchange.ts
@@ -23,6 +23,8 @@
   demandChanged: () => void;
   /** Called when a manager of a pool was heard, with its host id. */
   managerHeard: (service: string) => void;
+  /** Called when a manager of a pool has stopped giving orders. */
+  managerResigned: (service: string, epoch: number, sinceOrder: number) => void;
 }
 
 /** Pause between load reports. */
@@ -144,6 +146,13 @@
         replicas.receive(message);
         this.options.managerHeard(message.service);
         return;
+      case 'lease_resigned':
+        this.options.managerResigned(
+          message.service,
+          message.epoch,
+          message.sinceOrderMilliseconds,
+        );
+        return;
       case 'request_broke_endpoint':
         crashes.receive(message.fingerprint, message.incarnation);
         return;
--- a/src/entry/pool_runtimes.ts
+++ b/src/entry/pool_runtimes.ts
@@ -20,8 +20,13 @@
   incarnation: string;
   orderTurnMilliseconds: number;
   announce: (announcement: ReplicaAnnouncement) => void;
+  /** Tells all hosts that this one gives no more orders. */
+  resigned: (service: string, epoch: number, sinceOrder: number) => void;
 }
 
+/** Stands for a host that has given no order, in messages. */
+const NO_ORDER_MILLISECONDS = 3_600_000;
+
 /** Without news for this long, the manager of a pool has probably stopped. */
 const MANAGER_SILENCE_MILLISECONDS = 1200;
 
@@ -63,6 +68,12 @@
     this.heardAt.set(service, this.options.clock.monotonicMilliseconds());
   }
 
+  /** Notes that another host no longer manages a pool. */
+  managerResigned(service: string, epoch: number, sinceOrder: number): void {
+    this.heardAt.delete(service);
+    this.runtimes.get(service)?.lease.receiveResignation(epoch, sinceOrder);
+  }
+
   /** Whether this host manages a pool. */
   get managesPool(): boolean {
     return [...this.runtimes.values()].some(({lease}) => lease.isHeld());
@@ -88,6 +99,12 @@
           (this.heardAt.get(name) ?? Number.NEGATIVE_INFINITY) <
         MANAGER_SILENCE_MILLISECONDS,
       random: Math.random,
+      resigned: (epoch, sinceOrder) =>
+        options.resigned(
+          name,
+          epoch,
+          Math.min(sinceOrder, NO_ORDER_MILLISECONDS),
+        ),
       acquired: () => manager.notify(),
     });
     const manager: PoolManager = new PoolManager({
--- a/src/exchange/call_http.ts
+++ b/src/exchange/call_http.ts
@@ -63,10 +63,11 @@
             }),
       },
     });
-    const timer = setTimeout(
-      () => call.destroy(new Error('timed out')),
-      options.timeoutMilliseconds,
-    );
+    const timer = setTimeout(() => {
+      // A reset also discards bytes that a cut link still holds back.
+      if (connected) call.socket?.resetAndDestroy();
+      call.destroy(new Error('timed out'));
+    }, options.timeoutMilliseconds);
     const fail = (error: Error & {code?: string}) => {
       clearTimeout(timer);
       const refused = isNotConnectedCode(error.code ?? '');
--- a/src/exchange/send_to_endpoint.ts
+++ b/src/exchange/send_to_endpoint.ts
@@ -69,10 +69,16 @@
       headers: options.headers,
       setHost: false,
     });
-    const abort = () => exchange.destroy(new Error('the request has ended'));
+    const end = (reason: string) => {
+      // A reset also discards bytes that a cut link still holds back, so that
+      // the request does not arrive after it was given up.
+      if (connected) exchange.socket?.resetAndDestroy();
+      exchange.destroy(new Error(reason));
+    };
+    const abort = () => end('the request has ended');
     const expire = (reason: string) => () => {
       timedOut = true;
-      exchange.destroy(new Error(reason));
+      end(reason);
     };
     let timer = setTimeout(
       expire('connection not established in time'),
@@ -115,7 +121,7 @@
         status: message.statusCode ?? 0,
         message,
         hasFailed: () => hasFailed,
-        abandon: () => exchange.destroy(),
+        abandon: () => end('the answer is not wanted'),
       });
     });
     exchange.end(options.body);
--- a/src/peers/peer_message.ts
+++ b/src/peers/peer_message.ts
@@ -168,6 +168,14 @@
       z.object({target: z.string(), readyInMilliseconds: milliseconds}),
     ),
   }),
+  /** The sender gives no more orders to the engines of a service. */
+  z.object({
+    kind: z.literal('lease_resigned'),
+    service: z.string(),
+    epoch: z.number().int(),
+    /** Time since its last order; negative while one may still arrive. */
+    sinceOrderMilliseconds: milliseconds,
+  }),
   /** An endpoint broke off while it ran a request. */
   z.object({
     kind: z.literal('request_broke_endpoint'),
