Keep engines' turns for loads that serve waiting requests soon

Ruled out: a lack of free turns by other orders (adapters take 10 ms). Change: while requests wait, a third of the engines may load from the weight store; a model in use is evicted only for a request that has waited 2.5 s; a model that was just loaded is kept until its first requests are counted.

--- a/src/engines/engine_state.ts
+++ b/src/engines/engine_state.ts
@@ -40,6 +40,8 @@
   trustedUntil = Number.NEGATIVE_INFINITY;
   /** Model that has this engine's next load, while others make room for it. */
   reservedFor: string | undefined;
+  /** Monotonic time at which each model was seen to be loaded. */
+  readonly loadedAt = new Map<string, number>();
   /** Weights in the engine's main memory and on its disk. */
   inMemory: ReadonlySet<string>;
   onDisk: ReadonlySet<string>;
--- a/src/engines/plan_placement.ts
+++ b/src/engines/plan_placement.ts
@@ -18,6 +18,8 @@
   readonly onDisk: ReadonlySet<string>;
   /** Unfinished requests by model, adapters included. */
   readonly inFlight: ReadonlyMap<string, number>;
+  /** Models that were loaded so lately that their requests may not be counted yet. */
+  readonly fresh: ReadonlySet<string>;
 }
 
 /** Demand for one model, its adapters included, over all hosts. */
@@ -41,6 +43,8 @@
   readonly demand: ReadonlyMap<string, ModelDemand>;
   /** Loads from the weight store that may start now. */
   readonly remoteLoadsAllowed: number;
+  /** Loads from the weight store that are under way. */
+  readonly remoteLoadsRunning: number;
   /** Of these, loads that nobody waits for. */
   readonly preloadsAllowed: number;
 }
@@ -65,7 +69,17 @@
  */
 const REPLICA_OCCUPANCY = 0.35;
 
-/** Expected wait for the runs of a model that is evicted while in use. */
+/**
+ * Share of the engines that may load from the weight store while requests wait:
+ * such a load takes an engine's turn as long as several loads from its disk.
+ */
+const REMOTE_SHARE = 1 / 3;
+
+/**
+ * Expected wait for the runs of a model that is evicted while in use, and the
+ * wait from which a request justifies it: an unload that waits for runs takes
+ * the engine's turn, while idle models elsewhere could make room at once.
+ */
 const RUNNING_EVICTION_MILLISECONDS = 2500;
 
 /** Longest load that a replica nobody waits for may cost. */
@@ -132,7 +146,13 @@
   private preloads: number;
 
   constructor(private readonly input: PlacementInput) {
-    this.remoteLoads = input.remoteLoadsAllowed;
+    const mostRunning = this.hasWaiting()
+      ? Math.max(1, Math.floor(input.engines.length * REMOTE_SHARE))
+      : Number.POSITIVE_INFINITY;
+    this.remoteLoads = Math.min(
+      input.remoteLoadsAllowed,
+      mostRunning - input.remoteLoadsRunning,
+    );
     this.preloads = input.preloadsAllowed;
   }
 
@@ -234,10 +254,13 @@
   ): {models: string[]; cost: number; wait: number} | undefined {
     let free = this.input.terms.weightsMegabytes - this.usedMegabytes(engine);
     const result = {models: [] as string[], cost: 0, wait: 0};
+    const waited = this.input.demand.get(model.name)?.waitedMilliseconds ?? 0;
+    const mayWait =
+      reason === 'waiting' && waited >= RUNNING_EVICTION_MILLISECONDS;
     const victims = [...engine.models]
       .map(name => ({name, ...this.evictionCost(engine, name)}))
       .filter(victim => victim.allowed)
-      .filter(victim => reason === 'waiting' || victim.wait === 0)
+      .filter(victim => mayWait || victim.wait === 0)
       .sort((left, right) => left.cost + left.wait - right.cost - right.wait);
     for (const victim of victims) {
       if (free >= model.weightsMegabytes) break;
@@ -262,7 +285,8 @@
       (demand?.waiting ?? 0) + (demand?.waitingForAdapters ?? 0) > 0;
     return {
       // The last replicas of a busy model stay; so does what requests wait for.
-      allowed: !isAwaited && (isSpare || !isBusyModel),
+      allowed:
+        !isAwaited && !engine.fresh.has(model) && (isSpare || !isBusyModel),
       cost: isSpare ? rate : rate * LOAD_PENALTY_PER_REQUEST_RATE,
       wait: running > 0 ? RUNNING_EVICTION_MILLISECONDS : 0,
     };
--- a/src/engines/plan_placement_test.ts
+++ b/src/engines/plan_placement_test.ts
@@ -46,6 +46,7 @@
     inMemory: new Set(),
     onDisk: new Set(),
     inFlight: new Map(),
+    fresh: new Set(),
     ...more,
   };
 }
@@ -71,6 +72,7 @@
   engines: PlannedEngine[];
   demand: Record<string, ModelDemand>;
   remote?: number;
+  running?: number;
   preloads?: number;
   /** Engine, model and evictions of each load. */
   expected: [string, string, string[]][];
@@ -169,6 +171,62 @@
     },
     expected: [['e1', 'busy', ['rare-3']]],
   },
+  {
+    // Seen on scale-1 of Sheger: loads from the weight store took more than
+    // half of the engines' time while requests waited for models on disk.
+    name: 'few engines load from the weight store while requests wait',
+    engines: [
+      engine('e1', ['rare-3']),
+      engine('e2', ['rare-4']),
+      engine('e3', ['rare-4'], {onDisk: new Set(['rare-1'])}),
+    ],
+    demand: {
+      'rare-2': {...waiting(3), waitedMilliseconds: 3000},
+      'rare-1': waiting(),
+    },
+    running: 1,
+    preloads: 4,
+    expected: [['e3', 'rare-1', []]],
+  },
+  {
+    // Seen on scale-1 of Sheger: unloads that waited for runs took more than
+    // half of the engines' time.
+    name: 'a model in use is not evicted for a request that has just come',
+    engines: [
+      engine('e1', ['rare-1', 'rare-2'], {
+        inFlight: new Map([
+          ['rare-1', 1],
+          ['rare-2', 1],
+        ]),
+        onDisk: new Set(['rare-3']),
+      }),
+    ],
+    demand: {'rare-3': waiting()},
+    expected: [],
+  },
+  {
+    name: 'a model in use is evicted for a request that has waited for long',
+    engines: [
+      engine('e1', ['rare-1', 'rare-2'], {
+        inFlight: new Map([['rare-1', 1]]),
+        onDisk: new Set(['rare-3']),
+        fresh: new Set(['rare-2']),
+      }),
+    ],
+    demand: {'rare-3': {...waiting(), waitedMilliseconds: 3000}},
+    expected: [['e1', 'rare-3', ['rare-1']]],
+  },
+  {
+    name: 'a model that was just loaded is not evicted before it is used',
+    engines: [
+      engine('e1', ['rare-1', 'rare-2'], {
+        fresh: new Set(['rare-1']),
+        onDisk: new Set(['rare-3']),
+      }),
+    ],
+    demand: {'rare-3': waiting()},
+    expected: [['e1', 'rare-3', ['rare-2']]],
+  },
   {
     name: 'nothing is loaded twice while it is on its way',
     engines: [
@@ -219,6 +277,7 @@
     engines: entry.engines,
     demand: new Map(Object.entries(entry.demand)),
     remoteLoadsAllowed: entry.remote ?? 4,
+    remoteLoadsRunning: entry.running ?? 0,
     preloadsAllowed: entry.preloads ?? 0,
   };
 }
--- a/src/engines/pool_manager.ts
+++ b/src/engines/pool_manager.ts
@@ -53,6 +53,9 @@
 /** Slack after which an order that should have taken effect is asked about. */
 const ORDER_SLACK_MILLISECONDS = 1500;
 
+/** Time in which the hosts' reports show the first requests for a loaded model. */
+const FRESH_MILLISECONDS = 600;
+
 /** Wait of a request after which an engine that should serve it is asked. */
 const DOUBT_MILLISECONDS = 400;
 
@@ -140,6 +143,7 @@
       engines: this.plannedEngines(terms, now),
       demand,
       remoteLoadsAllowed: this.budget.allowed(now),
+      remoteLoadsRunning: this.budget.active,
       preloadsAllowed: Math.max(
         0,
         this.preloadConcurrency(demand) - this.budget.active,
@@ -202,6 +206,7 @@
     now: number,
   ): void {
     if (pending === undefined || engine.pending !== undefined) return;
+    if (pending.operation === 'load') engine.loadedAt.set(pending.model, now);
     const took = now - pending.startedAt;
     if (pending.tier === 'remote') {
       this.budget?.end(took, pending.expectedAt - pending.startedAt);
@@ -349,6 +354,11 @@
         inMemory: engine.inMemory,
         onDisk: engine.onDisk,
         inFlight: byModel(inFlight.get(engine.record.id)),
+        fresh: new Set(
+          [...engine.loadedAt]
+            .filter(([, at]) => now - at < FRESH_MILLISECONDS)
+            .map(([model]) => model),
+        ),
       };
     });
   }
