--- a/src/exchange/mod.ts
+++ b/src/exchange/mod.ts
@@ -14,6 +14,7 @@
   type HttpCallError,
 } from './call_http.ts';
 export {EndpointAgent, type EndpointAgentOptions} from './endpoint_agent.ts';
+export {connectionHeaders} from './hop_by_hop_headers.ts';
 export {
   type EndpointAnswer,
   sendToEndpoint,
--- a/src/platform/relay_dialect.ts
+++ b/src/platform/relay_dialect.ts
@@ -4,6 +4,7 @@
   RUN_STATES,
   type RequestError,
 } from '../errors/mod.ts';
+import {connectionHeaders} from '../exchange/mod.ts';
 import type {
   AnswerHead,
   Dialect,
@@ -32,17 +33,8 @@
   priority: 'Request-Priority',
 } as const;
 
-/** Concern one connection only. */
-const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
+/** Written anew for each message, or answered by this system itself. */
+const FRAMING_HEADERS: ReadonlySet<string> = new Set([
   'content-length',
   'expect',
 ]);
@@ -80,10 +72,7 @@
     answer.headers[HEADERS.signature.toLowerCase()] !== undefined &&
     answer.headers['content-encoding'] === undefined,
   answerHeaders: answer =>
-    keepHeaders(
-      answer.rawHeaders,
-      connectionHeaders(answer.headers.connection),
-    ),
+    keepHeaders(answer.rawHeaders, ownHeaders(answer.headers.connection)),
   errorHead,
 };
 
@@ -139,7 +128,7 @@
   notes: DispatchNotes,
 ): string[] {
   const dropped = new Set([
-    ...connectionHeaders(headerValue(rawHeaders, 'connection')),
+    ...ownHeaders(headerValue(rawHeaders, 'connection')),
     ...SYSTEM_HEADERS,
   ]);
   if (notes.lastEventId !== undefined) {
@@ -182,10 +171,9 @@
   return undefined;
 }
 
-/** Headers of one connection, with those that its Connection header names. */
-function connectionHeaders(value: string | undefined): ReadonlySet<string> {
-  const named = (value ?? '').split(',').map(name => name.trim().toLowerCase());
-  return new Set([...CONNECTION_HEADERS, ...named]);
+/** Headers of one connection and one body, which are not passed on. */
+function ownHeaders(connection: string | undefined): ReadonlySet<string> {
+  return new Set([...connectionHeaders(connection), ...FRAMING_HEADERS]);
 }
 
 function keepHeaders(
--- a/src/requests/forwarded_headers.ts
+++ b/src/requests/forwarded_headers.ts
@@ -1,17 +1,5 @@
 import type {IncomingHttpHeaders} from 'node:http';
-
-/** Headers that hold for one connection only (RFC 9110, section 7.6.1). */
-const HOP_BY_HOP = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
+import {connectionHeaders} from '../exchange/mod.ts';
 
 /** Request headers that carry the caller's key or that the client sets itself. */
 const NOT_FORWARDED = new Set([
@@ -45,13 +33,11 @@
 }
 
 function endToEnd(headers: IncomingHttpHeaders): [string, string | string[]][] {
-  const named = (headers.connection ?? '')
-    .split(',')
-    .map(name => name.trim().toLowerCase());
+  const dropped = connectionHeaders(headers.connection);
   return Object.entries(headers).flatMap(([rawName, value]) => {
     const name = rawName.toLowerCase();
-    const dropped =
-      value === undefined || HOP_BY_HOP.has(name) || named.includes(name);
-    return dropped ? [] : [[name, value] as [string, string | string[]]];
+    return value === undefined || dropped.has(name)
+      ? []
+      : [[name, value] as [string, string | string[]]];
   });
 }
