--- /dev/null
+++ b/src/engines/gain_test.ts
@@ -0,0 +1,41 @@
+import {describe, expect, test} from 'vitest';
+import {gain, type ModelDemand} from './mod.ts';
+
+const demand = (more: Partial<ModelDemand>): ModelDemand => ({
+  waiting: 1,
+  waitingForAdapters: 0,
+  priority: 1,
+  waitedMilliseconds: 0,
+  ratePerSecond: 0,
+  ...more,
+});
+
+describe('gain', () => {
+  // Pattern: demand moves to another model while single requests for rare
+  // models keep coming. Guards against either of them starving the other.
+  const cases = [
+    {
+      name: 'many requests go before one',
+      first: demand({waiting: 5}),
+      second: demand({}),
+    },
+    {
+      name: 'a model in demand goes before an equally urgent rare one',
+      first: demand({ratePerSecond: 3}),
+      second: demand({}),
+    },
+    {
+      name: 'a more urgent request goes before an equal one',
+      first: demand({priority: 0}),
+      second: demand({priority: 2}),
+    },
+    {
+      name: 'a request that has waited long goes before some new ones',
+      first: demand({waitedMilliseconds: 8000}),
+      second: demand({waiting: 3}),
+    },
+  ];
+  test.each(cases)('$name', ({first, second}) => {
+    expect(gain(first)).toBeGreaterThan(gain(second));
+  });
+});
--- /dev/null
+++ b/src/engines/remote_load_budget_test.ts
@@ -0,0 +1,39 @@
+import {describe, expect, test} from 'vitest';
+import {RemoteLoadBudget} from './mod.ts';
+
+describe('RemoteLoadBudget', () => {
+  // Guards against CEILING: loads that start faster than the weight store
+  // allows, also when loads end at once.
+  test.each([0.4, 1, 3.3, 43])(
+    'at %d loads a second, starts stay under the ceiling',
+    loadsPerSecond => {
+      const budget = new RemoteLoadBudget({loadsPerSecond, startsAt: 0});
+      const starts: number[] = [];
+      for (let now = 0; now < 30_000; now += 20) {
+        if (budget.allowed(now) < 1) continue;
+        budget.begin(now);
+        budget.end(10, 10);
+        starts.push(now);
+      }
+      const ceiling = loadsPerSecond * 5 * 1.1 + 3;
+      for (const from of starts) {
+        const started = starts.filter(at => at >= from && at < from + 5000);
+        expect(started.length).toBeLessThanOrEqual(ceiling);
+      }
+    },
+  );
+
+  test('slow loads lower the number of loads at once', () => {
+    const budget = new RemoteLoadBudget({loadsPerSecond: 10, startsAt: 0});
+    const before = budget.allowed(0);
+    budget.begin(0);
+    budget.end(9000, 6000);
+    expect(budget.allowed(6000)).toBe(before - 1);
+  });
+
+  test('nothing starts before the turn of the manager', () => {
+    const budget = new RemoteLoadBudget({loadsPerSecond: 10, startsAt: 3000});
+    expect(budget.allowed(2999)).toBe(0);
+    expect(budget.allowed(3000)).toBeGreaterThan(0);
+  });
+});
--- a/src/entry/entry_host_test.ts
+++ b/src/entry/entry_host_test.ts
@@ -168,6 +168,62 @@
     },
   );
 
+  // Guards against MIXED: bytes that arrive after an answer belong to no
+  // request, and must not be taken for the answer to the next one.
+  test('an extra answer is not passed on', async () => {
+    await startHost('host-1');
+    shareTroubles('extra_answer', 1);
+    for (let count = 0; count < 4; count++) {
+      const answer = await send(ports[0]!.callers, {path: '/look/x'});
+      expect(answer.status).toBe(200);
+      expect(answer.body).toBe('the whole answer');
+    }
+  });
+
+  // Guards against CONFIG: a final answer is due at the route's timeout.
+  test.each([
+    {kind: 'order', status: 504},
+    {kind: 'chat', status: 504},
+  ])('$kind to a silent endpoint ends with $status', async entry => {
+    store.put(
+      'op',
+      'config',
+      platformConfiguration({version: 2, timeoutMilliseconds: 300}),
+    );
+    await startHost('host-1');
+    shareTroubles('hangs', 10);
+    const answer = await send(ports[0]!.callers, {
+      path: `/${entry.kind}/x`,
+      method: 'POST',
+      headers: entry.kind === 'chat' ? {Model: 'model-a'} : {},
+    });
+    expect(answer.status).toBe(entry.status);
+    expect(allRuns().length).toBe(1);
+  });
+
+  // Guards against GONE: an endpoint must not work on for a caller that left.
+  test('a caller that leaves ends its request at the endpoint', async () => {
+    await startHost('host-1');
+    shareTroubles('hangs', 10);
+    const request = httpRequest({
+      host: '127.0.0.1',
+      port: ports[0]!.callers,
+      path: '/look/x',
+      headers: {Host: 'api.example', 'X-Api-Key': PLATFORM_KEY},
+    });
+    request.on('error', () => undefined);
+    request.end();
+    await expect.poll(() => allRuns().length).toBe(1);
+    request.destroy();
+    await expect
+      .poll(() => lines.some(line => line.includes('"callerLeft"')))
+      .toBe(true);
+    await expect
+      .poll(() => Math.max(...plain.map(endpoint => endpoint.requestsUnderWay)))
+      .toBe(0);
+    expect(allRuns().length).toBe(1);
+  });
+
   // Guards against callers that set what only the system may set, and against
   // keys that reach endpoints.
   test('an endpoint gets the system’s headers and not the caller’s', async () => {
--- /dev/null
+++ b/src/entry/settings_template_test.ts
@@ -0,0 +1,52 @@
+import {readFileSync} from 'node:fs';
+import {expect, test} from 'vitest';
+import {entrySettingsSchema} from './mod.ts';
+
+/** Fields of the platform's settings, as its deployment page shows them. */
+const FIELDS = {
+  node_name: 'frontend-a-1',
+  ip_address: '10.1.0.25',
+  zone: 'zone-a',
+  listen_addresses: {
+    frontend: '10.1.0.25:8221',
+    ready: '10.1.0.25:8224',
+    directory_service: '10.1.0.25:8220',
+  },
+  internal_port_range: [7600, 7615],
+  initial_bootstrap: true,
+  platform: {address: '10.200.1.7:8225'},
+  bounds: {
+    grace_period_s: 8,
+    lease_ms: 3000,
+    retry_budget_ratio: 0.2,
+    retry_budget_slack: 56,
+    budget_window_s: 0.5,
+  },
+};
+
+// Guards against a template whose result is no valid settings file.
+test('the template makes valid settings', () => {
+  const template = readFileSync(
+    new URL('../../deploy/settings.json.template', import.meta.url),
+    'utf8',
+  );
+  const text = template.replace(
+    /\{\{([\w.]+)\|json\}\}/g,
+    (_match, path: string) => JSON.stringify(valueAt(path)),
+  );
+  const parsed = entrySettingsSchema.safeParse(JSON.parse(text));
+  expect(parsed.success).toBe(true);
+  expect(parsed.data).toMatchObject({
+    hostId: 'frontend-a-1',
+    peerPort: 7600,
+    isFirstStart: true,
+  });
+});
+
+function valueAt(path: string): unknown {
+  let value: unknown = FIELDS;
+  for (const key of path.split('.')) {
+    value = (value as Record<string, unknown>)[key];
+  }
+  return value;
+}
--- /dev/null
+++ b/src/relay/crash_record_test.ts
@@ -0,0 +1,77 @@
+import {describe, expect, test} from 'vitest';
+import {ManualClock} from '../testing/manual_clock.ts';
+import {CrashRecord} from './mod.ts';
+
+function createFleet(hosts: number) {
+  const clock = new ManualClock();
+  const records: CrashRecord[] = [];
+  for (let host = 0; host < hosts; host++) {
+    records.push(
+      new CrashRecord({
+        clock,
+        tell: (fingerprint, incarnation) => {
+          records.forEach((record, other) => {
+            if (other !== host) record.receive(fingerprint, incarnation);
+          });
+        },
+      }),
+    );
+  }
+  return {clock, records};
+}
+
+describe('CrashRecord', () => {
+  interface Case {
+    name: string;
+    broken: {host: number; incarnation: string}[];
+    isAllowed: boolean;
+  }
+  const cases: Case[] = [
+    {name: 'none', broken: [], isAllowed: true},
+    {name: 'one', broken: [{host: 0, incarnation: 'e1/1'}], isAllowed: true},
+    {
+      name: 'one twice',
+      broken: [
+        {host: 0, incarnation: 'e1/1'},
+        {host: 1, incarnation: 'e1/1'},
+      ],
+      isAllowed: true,
+    },
+    {
+      name: 'two through two hosts',
+      broken: [
+        {host: 0, incarnation: 'e1/1'},
+        {host: 1, incarnation: 'e2/1'},
+      ],
+      isAllowed: false,
+    },
+    {
+      name: 'the same one after its restart',
+      broken: [
+        {host: 0, incarnation: 'e1/1'},
+        {host: 0, incarnation: 'e1/2'},
+      ],
+      isAllowed: false,
+    },
+  ];
+  // Guards against BUDGET: a request that crashes each endpoint that runs it
+  // comes again at any host.
+  test.each(cases)('a request that broke $name', ({broken, isAllowed}) => {
+    const {records} = createFleet(2);
+    for (const {host, incarnation} of broken) {
+      records[host]?.noteBroken('request', incarnation);
+    }
+    for (const record of records) {
+      expect(record.allows('request')).toBe(isAllowed);
+      expect(record.allows('another')).toBe(true);
+    }
+  });
+
+  test('a request is forgotten after a minute', () => {
+    const {clock, records} = createFleet(1);
+    records[0]?.noteBroken('request', 'e1/1');
+    records[0]?.noteBroken('request', 'e2/1');
+    clock.advance(61_000);
+    expect(records[0]?.allows('request')).toBe(true);
+  });
+});
--- a/src/settings/render_settings_reference.ts
+++ b/src/settings/render_settings_reference.ts
@@ -27,8 +27,13 @@
 
 /** Renders docs/settings.md from the schema. */
 export function renderSettingsReference(): string {
-  const schema = z.toJSONSchema(settingsSchema, {io: 'input'}) as SchemaNode;
-  return INTRODUCTION + renderProperties(schema, '').join('\n') + '\n';
+  return INTRODUCTION + renderSettingsTable(settingsSchema);
+}
+
+/** Renders the rows of a settings table, one for each setting of a schema. */
+export function renderSettingsTable(schema: z.ZodType): string {
+  const node = z.toJSONSchema(schema, {io: 'input'}) as SchemaNode;
+  return renderProperties(node, '').join('\n') + '\n';
 }
 
 function renderProperties(node: SchemaNode, prefix: string): string[] {
--- a/src/testing/platform_endpoint_stand_in.ts
+++ b/src/testing/platform_endpoint_stand_in.ts
@@ -68,6 +68,7 @@
   }[] = [];
   private readonly held: Map<string, Set<string>>;
   private readonly born = Date.now();
+  private readonly unanswered = new Set<ServerResponse>();
   private accepted = 0;
   private busy = false;
   private readonly server: Server;
@@ -107,6 +108,11 @@
     return [...this.held.keys()];
   }
 
+  /** Connections with a request that has no answer yet. */
+  get requestsUnderWay(): number {
+    return this.unanswered.size;
+  }
+
   /** Writes the endpoint's row. */
   register(state: 'ready' | 'draining' = 'ready'): void {
     const {id, service, dataCentre} = this.options;
@@ -171,6 +177,8 @@
   ): void {
     const trouble = this.nextTrouble();
     const {headers} = request;
+    this.unanswered.add(response);
+    response.once('close', () => this.unanswered.delete(response));
     const target = String(headers['model'] ?? '');
     const [model = '', adapter] = target.split('/');
     const isMissing =
