Report a conflict as soon as its abort is proven

Cause: after a lost answer and a conflict, the transaction writer aborts by moving the marker. When the answer of that abort was lost too, it found the aborted marker and submitted the transaction again instead of reporting the conflict.

Ruled out: slow timers and the machine's load.

Change: the writer keeps the conflict and reports it once the marker is known to be aborted. transaction_writer_test fails first (uncertain after the time limit) and passes now.

--- a/src/stores/transaction_writer.ts
+++ b/src/stores/transaction_writer.ts
@@ -98,6 +98,8 @@
     let markerVersion: number | null = null;
     // Whether a submission without an answer may still take effect.
     let outstanding = false;
+    // The conflict that waits for proof that no earlier submission commits.
+    let conflict: Extract<WriteResult, {kind: 'conflict'}> | undefined;
     for (;;) {
       const result = await this.submit(key, markerVersion, transaction);
       let problem: Problem;
@@ -120,6 +122,7 @@
               return {kind: 'committed', earlier: true};
             }
             if (marker.kind === 'aborted') {
+              if (conflict !== undefined) return conflict;
               markerVersion = marker.version;
               outstanding = false;
               problem = ABORTED;
@@ -130,6 +133,7 @@
             break;
           }
           if (!outstanding) return result;
+          conflict = result;
           const aborted = await this.abort(key, markerVersion);
           if (aborted === undefined) return result;
           problem = aborted;
--- a/src/stores/transaction_writer_test.ts
+++ b/src/stores/transaction_writer_test.ts
@@ -214,6 +214,18 @@
     },
   );
 
+  // Guards against a writer that submits the transaction again after each abort
+  // and so meets every lost answer of the same phase until its time is over.
+  test('a conflict is reported when every other answer is lost', async () => {
+    const lost: Fault[] = ['answer_lost', 'none'];
+    const table = new FaultyTable(Array<Fault[]>(500).fill(lost).flat());
+    table.put('row', 'other');
+    const {writer, clock} = createWriter(table);
+    const result = await settle(clock, writer.write('id', CREATE));
+    expect(result).toEqual({kind: 'conflict', keys: ['row']});
+    expect(table.counts.commits).toBeLessThanOrEqual(4);
+  });
+
   // Guards against a submission after the marker may have been removed.
   test('a paused writer does not submit after its time limit', async () => {
     const table = new FaultyTable(['answer_lost']);
