Let replicas that the runs need come from the weight store

Cause, found by reading the change before: a model on some engine counts as "has a copy", so no further replica of it could come from the weight store unless an engine had it on its disk.

Change: a copy elsewhere only holds back loads for waiting requests. The new case of plan_placement_test failed before.

--- a/src/engines/plan_placement.ts
+++ b/src/engines/plan_placement.ts
@@ -279,7 +279,9 @@
     if (tier === 'remote' && reason === 'replica' && this.hasWaiting()) {
       return undefined;
     }
-    if (tier === 'remote' && this.hasBetterCopy(model)) return undefined;
+    if (tier === 'remote' && reason === 'waiting' && this.hasCopy(model)) {
+      return undefined;
+    }
     const evictions = this.evictionsFor(engine, model, reason);
     if (evictions === undefined) return undefined;
     const loadMilliseconds = loadTime(model, tier);
@@ -393,7 +395,7 @@
   }
 
   /** Whether some engine has a copy that is worth a short wait for its turn. */
-  private hasBetterCopy({name}: ModelTerms): boolean {
+  private hasCopy({name}: ModelTerms): boolean {
     const waited = this.input.demand.get(name)?.waitedMilliseconds ?? 0;
     return (
       waited < REMOTE_DESPITE_COPY_MILLISECONDS &&
--- a/src/engines/plan_placement_test.ts
+++ b/src/engines/plan_placement_test.ts
@@ -161,6 +161,18 @@
     demand: {busy: steady(5)},
     expected: [['e2', 'busy', ['rare-2']]],
   },
+  {
+    name: 'a replica that the runs need comes from the store if it must',
+    engines: [
+      engine('e1', ['busy'], {
+        inFlight: new Map([['busy', 8]]),
+        onDisk: new Set(['busy']),
+      }),
+      engine('e2', []),
+    ],
+    demand: {busy: steady(2)},
+    expected: [['e2', 'busy', []]],
+  },
   {
     // Seen on quiet-1 of Kaplama: a model that had just become busy waited ten
     // seconds behind single requests for rare models of a higher priority.
