List engines without copies that stand idle as known red

Cause, from its logs: two releases replace the model engines by empty ones; while requests wait, REMOTE_SHARE lets a third of the engines load from the weight store, so after 24 s one loads at a time, 6 s each, and the others stand idle. Ruled out: the store, the lease (no hand-over) and refused orders (0 of 205).

--- a/src/engines/plan_placement_test.ts
+++ b/src/engines/plan_placement_test.ts
@@ -296,6 +296,20 @@
     ).toEqual(entry.expected);
   });
 
+  // Seen on a day of the hunt of Sheger (mix, seed 214251560853): after a
+  // release had replaced all engines by empty ones, one of them loaded at a
+  // time while the others stood idle, and most requests were refused.
+  test('engines without copies all load from the store while requests wait', () => {
+    const engines = ['e1', 'e2', 'e3', 'e4'].map(id => engine(id, []));
+    const demand = Object.fromEntries(
+      MODELS.slice(1).map(model => [model, waiting()]),
+    );
+    const loads = planPlacement(
+      inputOf({name: '', engines, demand, remote: 4, expected: []}),
+    );
+    expect(loads.length).toBe(4);
+  });
+
   // Pattern: first requests for many rare models at once. Compared with the
   // naive way, which loads each on the first engine with room from the store.
   test('first requests for many rare models use all engines at once', () => {
