Split placement and pool management, and share what stood twice

The in-flight sums of all hosts were built for the planner and again for each engine that an adapter might go to; they are built once a round. - Targets were split at their slash in six ways: splitTarget. - The patience of callers is a judgement, so it leaves platform/ for deployment/callerPatience; platform/ hands it the decoded figures. - Decoded fields that nobody reads are gone (health path, cache tokens, host and disk sizes, header limit), and EndpointRegistry.get and isUsable. - FleetExchange.stop was never called: a drained host ends its reports now, just before it closes. This is the one change of what runs. - Two tests had the same settle(); it is in testing/, with the shorter of the two bounds (25 s).

--- a/src/contracts/change_log_test.ts
+++ b/src/contracts/change_log_test.ts
@@ -7,7 +7,7 @@
   TransactionWriter,
 } from '../stores/mod.ts';
 import {failure, success} from '../errors/mod.ts';
-import {ManualClock, MemoryTable} from '../testing/mod.ts';
+import {ManualClock, MemoryTable, settle} from '../testing/mod.ts';
 import {
   type Change,
   ChangeLog,
@@ -74,20 +74,6 @@
   };
 }
 
-async function settle<Value>(
-  clock: ManualClock,
-  promise: Promise<Value>,
-): Promise<Value> {
-  let settled = false;
-  void promise.finally(() => {
-    settled = true;
-  });
-  for (let step = 0; step < 1000 && !settled; step++) {
-    await clock.advanceAsync(50);
-  }
-  return promise;
-}
-
 function putPool(name: string): Change {
   return changeSchema.parse({kind: 'put_pool', pool: {name, kind: 'engine'}});
 }
--- a/src/deployment/configuration.ts
+++ b/src/deployment/configuration.ts
@@ -46,21 +46,17 @@
 /** Limits of the engines of one service. */
 export interface EnginePoolTerms {
   readonly slots: number;
-  readonly cacheTokens: number;
   /** Accelerator memory for weights and adapters of one engine. */
   readonly weightsMegabytes: number;
   readonly adapterCapacity: number;
   /** Loads from the weight store that may start a second, over all engines. */
   readonly loadsPerSecond: number;
-  readonly hostMegabytes: number;
-  readonly diskMegabytes: number;
   readonly models: ReadonlyMap<string, ModelTerms>;
 }
 
 /** A service to which requests are routed. */
 export interface ServiceTerms {
   readonly name: string;
-  readonly healthPath: string;
   /** Connections that one endpoint accepts from all hosts together. */
   readonly connectionLimit: number;
   /** Present when the endpoints are model engines. */
@@ -84,7 +80,6 @@
 
 /** What callers may send, and how long they may take. */
 export interface CallerLimits {
-  readonly headerBytes: number;
   readonly bodyBytes: number;
   readonly headerMilliseconds: number;
   readonly idleMilliseconds: number;
--- a/src/deployment/mod.ts
+++ b/src/deployment/mod.ts
@@ -8,6 +8,7 @@
  *
  * @module
  */
+export {callerPatience, type PatienceTerms} from './caller_patience.ts';
 export type {
   CallerLimits,
   DeploymentConfiguration,
--- a/src/engines/_adapter_desk.ts
+++ b/src/engines/_adapter_desk.ts
@@ -1,24 +1,21 @@
 import type {EnginePoolTerms} from '../deployment/mod.ts';
-import type {FleetLoad, WaitingTarget} from '../fleet/mod.ts';
+import type {WaitingTarget} from '../fleet/mod.ts';
 import {type Clock, sleep} from '../time/mod.ts';
-import type {OrderOutcome} from './engine_control.ts';
+import type {OrderDesk} from './_order_desk.ts';
+import {splitTarget} from './_split_target.ts';
 import type {EngineState} from './engine_state.ts';
 
 /** Options of {@link AdapterDesk}. */
 export interface AdapterDeskOptions {
   clock: Clock;
-  load: FleetLoad;
-  /** Gives one order. */
-  order: (
-    engine: EngineState,
-    operation: 'load' | 'unload',
-    model: string,
-    adapter: string,
-  ) => Promise<OrderOutcome>;
+  orders: Pick<OrderDesk, 'order'>;
   /** Called when an engine's adapters have changed. */
   changed: () => void;
 }
 
+/** Unfinished requests of all hosts, by engine and then by target. */
+type InFlight = ReadonlyMap<string, ReadonlyMap<string, number>>;
+
 /** Time for an adapter to arrive at an engine, on an idle weight store. */
 const ADAPTER_LOAD_MILLISECONDS = 12;
 
@@ -32,20 +29,20 @@
   serve(
     engines: readonly EngineState[],
     waiting: readonly WaitingTarget[],
+    inFlight: InFlight,
     terms: EnginePoolTerms,
   ): void {
-    this.noteUse(engines);
+    this.noteUse(engines, inFlight);
     for (const {target} of waiting) {
       if (!target.includes('/') || this.underWay.has(target)) continue;
       if (engines.some(engine => engine.adapters.has(target))) continue;
-      const engine = this.chooseEngine(engines, target, terms);
-      if (engine !== undefined) void this.load(engine, target, terms);
+      const engine = this.chooseEngine(engines, target, inFlight, terms);
+      if (engine !== undefined) void this.load(engine, target, inFlight, terms);
     }
   }
 
-  private noteUse(engines: readonly EngineState[]): void {
+  private noteUse(engines: readonly EngineState[], inFlight: InFlight): void {
     const now = this.options.clock.monotonicMilliseconds();
-    const inFlight = this.options.load.inFlight();
     for (const engine of engines) {
       for (const target of inFlight.get(engine.record.id)?.keys() ?? []) {
         if (target.includes('/')) engine.adapterUsedAt.set(target, now);
@@ -56,19 +53,19 @@
   private chooseEngine(
     engines: readonly EngineState[],
     target: string,
+    inFlight: InFlight,
     terms: EnginePoolTerms,
   ): EngineState | undefined {
-    const [model] = target.split('/');
+    const {model} = splitTarget(target);
     return engines
       .filter(
         engine =>
-          model !== undefined &&
           engine.models.has(model) &&
           !engine.withdrawn.has(model) &&
           !engine.isOrdering &&
           !engine.isUncertain &&
           engine.pending === undefined &&
-          this.hasRoom(engine, model, terms),
+          this.hasRoom(engine, model, inFlight, terms),
       )
       .sort((left, right) => left.adapters.size - right.adapters.size)[0];
   }
@@ -76,40 +73,35 @@
   private hasRoom(
     engine: EngineState,
     model: string,
+    inFlight: InFlight,
     terms: EnginePoolTerms,
   ): boolean {
     const megabytes = terms.models.get(model)?.adapterMegabytes ?? 0;
     if (engine.adapters.size < terms.adapterCapacity) {
       return usedMegabytes(engine, terms) + megabytes <= terms.weightsMegabytes;
     }
-    return this.leastUsed(engine) !== undefined;
-  }
-
-  /** The adapter without requests that was used longest ago. */
-  private leastUsed(engine: EngineState): string | undefined {
-    const inFlight = this.options.load.inFlight().get(engine.record.id);
-    return [...engine.adapters]
-      .filter(target => !inFlight?.has(target))
-      .sort(
-        (left, right) =>
-          (engine.adapterUsedAt.get(left) ?? 0) -
-          (engine.adapterUsedAt.get(right) ?? 0),
-      )[0];
+    return leastUsed(engine, inFlight) !== undefined;
   }
 
   private async load(
     engine: EngineState,
     target: string,
+    inFlight: InFlight,
     terms: EnginePoolTerms,
   ): Promise<void> {
-    const [model = '', adapter = ''] = target.split('/');
+    const {model, adapter} = splitTarget(target);
     this.underWay.add(target);
     engine.isOrdering = true;
     try {
       if (engine.adapters.size >= terms.adapterCapacity) {
-        if (!(await this.unloadLeastUsed(engine))) return;
+        if (!(await this.unloadLeastUsed(engine, inFlight))) return;
       }
-      const outcome = await this.options.order(engine, 'load', model, adapter);
+      const outcome = await this.options.orders.order(
+        engine,
+        'load',
+        model,
+        adapter,
+      );
       if (outcome !== 'accepted' && outcome !== 'done') return;
       if (outcome === 'accepted') {
         await sleep(this.options.clock, ADAPTER_LOAD_MILLISECONDS);
@@ -126,13 +118,21 @@
     }
   }
 
-  private async unloadLeastUsed(engine: EngineState): Promise<boolean> {
-    const victim = this.leastUsed(engine);
+  private async unloadLeastUsed(
+    engine: EngineState,
+    inFlight: InFlight,
+  ): Promise<boolean> {
+    const victim = leastUsed(engine, inFlight);
     if (victim === undefined) return false;
-    const [model = '', adapter = ''] = victim.split('/');
+    const {model, adapter} = splitTarget(victim);
     engine.withdrawn.add(victim);
     this.options.changed();
-    const outcome = await this.options.order(engine, 'unload', model, adapter);
+    const outcome = await this.options.orders.order(
+      engine,
+      'unload',
+      model,
+      adapter,
+    );
     engine.withdrawn.delete(victim);
     if (outcome === 'done' || outcome === 'accepted') {
       engine.adapters.delete(victim);
@@ -142,13 +142,28 @@
   }
 }
 
+/** The adapter without requests that was used longest ago. */
+function leastUsed(
+  engine: EngineState,
+  inFlight: InFlight,
+): string | undefined {
+  const targets = inFlight.get(engine.record.id);
+  return [...engine.adapters]
+    .filter(target => !targets?.has(target))
+    .sort(
+      (left, right) =>
+        (engine.adapterUsedAt.get(left) ?? 0) -
+        (engine.adapterUsedAt.get(right) ?? 0),
+    )[0];
+}
+
 function usedMegabytes(engine: EngineState, terms: EnginePoolTerms): number {
   const weights = [...engine.models].reduce(
     (sum, model) => sum + (terms.models.get(model)?.weightsMegabytes ?? 0),
     0,
   );
   return [...engine.adapters].reduce((sum, target) => {
-    const model = terms.models.get(target.split('/')[0] ?? '');
+    const model = terms.models.get(splitTarget(target).model);
     return sum + (model?.adapterMegabytes ?? 0);
   }, weights);
 }
--- /dev/null
+++ b/src/engines/_demand_by_model.ts
@@ -0,0 +1,55 @@
+import type {EnginePoolTerms} from '../deployment/mod.ts';
+import type {WaitingTarget} from '../fleet/mod.ts';
+import {splitTarget} from './_split_target.ts';
+import type {ModelDemand} from './model_demand.ts';
+
+/** Input of {@link demandByModel}. */
+export interface DemandInput {
+  readonly terms: EnginePoolTerms;
+  /** Targets for which requests wait, over all hosts. */
+  readonly waiting: readonly WaitingTarget[];
+  /** Requests a second for a model. */
+  readonly rateOf: (model: string) => number;
+  /** Whether an engine holds a model, so that requests wait for its adapter. */
+  readonly isHeld: (model: string) => boolean;
+}
+
+/** Rate below which a model without waiting requests is not in demand. */
+const LEAST_RATE_PER_SECOND = 0.01;
+
+/** Demand for each model of a pool; models without any are left out. */
+export function demandByModel(
+  input: DemandInput,
+): ReadonlyMap<string, ModelDemand> {
+  const demand = new Map<string, ModelDemand>();
+  for (const model of input.terms.models.keys()) {
+    const ratePerSecond = input.rateOf(model);
+    if (ratePerSecond < LEAST_RATE_PER_SECOND) continue;
+    demand.set(model, {
+      waiting: 0,
+      timely: 0,
+      waitingForAdapters: 0,
+      priority: 9,
+      waitedMilliseconds: 0,
+      ratePerSecond,
+    });
+  }
+  for (const entry of input.waiting) {
+    const {model, adapter} = splitTarget(entry.target);
+    const known = demand.get(model);
+    const isForAdapter = adapter !== undefined && input.isHeld(model);
+    demand.set(model, {
+      waiting: (known?.waiting ?? 0) + (isForAdapter ? 0 : entry.requests),
+      timely: (known?.timely ?? 0) + (isForAdapter ? 0 : entry.timely),
+      waitingForAdapters:
+        (known?.waitingForAdapters ?? 0) + (isForAdapter ? entry.requests : 0),
+      priority: Math.min(known?.priority ?? 9, entry.priority),
+      waitedMilliseconds: Math.max(
+        known?.waitedMilliseconds ?? 0,
+        entry.waitedMilliseconds,
+      ),
+      ratePerSecond: known?.ratePerSecond ?? 0,
+    });
+  }
+  return demand;
+}
--- /dev/null
+++ b/src/engines/_planned_engines.ts
@@ -0,0 +1,56 @@
+import {splitTarget} from './_split_target.ts';
+import type {EngineState} from './engine_state.ts';
+import type {PlannedEngine} from './planned_engine.ts';
+
+/** Time in which the hosts' reports show the first requests for a loaded model. */
+const FRESH_MILLISECONDS = 600;
+
+/**
+ * What placement needs to know of the engines that can be reached.
+ *
+ * @param inFlight Unfinished requests by engine and then by target.
+ */
+export function plannedEngines(
+  engines: Iterable<EngineState>,
+  inFlight: ReadonlyMap<string, ReadonlyMap<string, number>>,
+  now: number,
+): readonly PlannedEngine[] {
+  return [...engines]
+    .filter(engine => !engine.isUnreachable)
+    .map(engine => {
+      const {pending} = engine;
+      const remaining =
+        pending === undefined ? 0 : Math.max(1, pending.expectedAt - now);
+      const isTaken = engine.isOrdering || engine.isUncertain;
+      return {
+        id: engine.record.id,
+        models: engine.models,
+        adapters: engine.adapters,
+        loading:
+          pending?.operation === 'load' ? pending.model : engine.reservedFor,
+        busyMilliseconds: isTaken ? Math.max(remaining, 50) : remaining,
+        inMemory: engine.inMemory,
+        onDisk: engine.onDisk,
+        inFlight: byModel(inFlight.get(engine.record.id)),
+        fresh: new Set(
+          [...engine.loadedAt]
+            .filter(([, at]) => now - at < FRESH_MILLISECONDS)
+            .map(([model]) => model),
+        ),
+        loadedFor: new Map(
+          [...engine.loadedAt].map(([model, at]) => [model, now - at]),
+        ),
+      };
+    });
+}
+
+function byModel(
+  targets: ReadonlyMap<string, number> | undefined,
+): ReadonlyMap<string, number> {
+  const sums = new Map<string, number>();
+  for (const [target, requests] of targets ?? []) {
+    const {model} = splitTarget(target);
+    sums.set(model, (sums.get(model) ?? 0) + requests);
+  }
+  return sums;
+}
--- a/src/engines/engine_state.ts
+++ b/src/engines/engine_state.ts
@@ -1,6 +1,7 @@
 import type {EndpointRecord} from '../deployment/mod.ts';
+import {splitTarget} from './_split_target.ts';
 import type {EngineReport} from './engine_control.ts';
-import type {LoadTier} from './plan_placement.ts';
+import type {LoadTier} from './load_tier.ts';
 
 /** A load or unload that an engine carries out. */
 export interface PendingOrder {
@@ -95,7 +96,7 @@
     return [...this.models, ...this.adapters].filter(
       target =>
         !this.withdrawn.has(target) &&
-        !this.withdrawn.has(target.split('/')[0] ?? target),
+        !this.withdrawn.has(splitTarget(target).model),
     );
   }
 
--- a/src/engines/load_patterns_test.ts
+++ b/src/engines/load_patterns_test.ts
@@ -13,12 +13,9 @@
 
 const TERMS: EnginePoolTerms = {
   slots: 32,
-  cacheTokens: 100_000,
   weightsMegabytes: 200,
   adapterCapacity: 8,
   loadsPerSecond: 3,
-  hostMegabytes: 0,
-  diskMegabytes: 1200,
   models: new Map(
     [...BUSY, ...RARE].map(name => [
       name,
--- a/src/engines/mod.ts
+++ b/src/engines/mod.ts
@@ -17,18 +17,12 @@
   OrderOutcome,
 } from './engine_control.ts';
 export {EngineState, type PendingOrder} from './engine_state.ts';
-export {
-  gain,
-  type LoadTier,
-  type ModelDemand,
-  type PlacementInput,
-  type PlannedEngine,
-  type PlannedLoad,
-  planPlacement,
-  type ReplicaRange,
-  tierOn,
-  wantedReplicas,
-} from './plan_placement.ts';
+export {gain} from './gain.ts';
+export type {LoadTier} from './load_tier.ts';
+export type {ModelDemand} from './model_demand.ts';
+export {type PlacementInput, planPlacement} from './plan_placement.ts';
+export type {PlannedEngine} from './planned_engine.ts';
+export type {PlannedLoad} from './planned_load.ts';
 export {
   LEASE_TABLE,
   type LeaseRenewal,
--- a/src/engines/plan_placement_test.ts
+++ b/src/engines/plan_placement_test.ts
@@ -11,12 +11,9 @@
 
 const TERMS: EnginePoolTerms = {
   slots: 10,
-  cacheTokens: 1000,
   weightsMegabytes: 200,
   adapterCapacity: 8,
   loadsPerSecond: 3,
-  hostMegabytes: 200,
-  diskMegabytes: 1000,
   models: new Map(
     MODELS.map(name => [
       name,
--- a/src/engines/pool_lease.ts
+++ b/src/engines/pool_lease.ts
@@ -2,6 +2,7 @@
 import type {EventLogger} from '../observability/mod.ts';
 import type {RowStore} from '../stores/mod.ts';
 import {type Clock, sleep} from '../time/mod.ts';
+import {decodeLease, encodeLease, type LeaseContent} from './_lease_content.ts';
 
 /** Options of {@link PoolLease}. */
 export interface PoolLeaseOptions {
@@ -50,16 +51,6 @@
 /** Pause of a host that lost a race for the lease. */
 const RACE_MILLISECONDS = 600;
 
-interface LeaseContent {
-  readonly holder: string;
-  readonly incarnation: string;
-  readonly epoch: number;
-  /** Whether the holder has given the lease up. */
-  readonly released: boolean;
-  /** Whether the turn of the holder has begun, so that it may have given orders. */
-  readonly active: boolean;
-}
-
 interface Observation {
   readonly version: number;
   /** Monotonic time since which the row is known not to have changed. */
@@ -370,7 +361,7 @@
       {
         table: LEASE_TABLE,
         key: scope,
-        value: Buffer.from(JSON.stringify(content)),
+        value: encodeLease(content),
         expectedVersion,
       },
     ]);
@@ -407,20 +398,3 @@
         {readonly content: LeaseContent; readonly version: number} | undefined;
     }
   | {readonly kind: 'failed'};
-
-function decodeLease(value: Buffer | undefined): LeaseContent | undefined {
-  if (value === undefined) return undefined;
-  try {
-    const content = JSON.parse(value.toString()) as Partial<LeaseContent>;
-    return {
-      holder: content.holder ?? '',
-      incarnation: content.incarnation ?? '',
-      epoch: content.epoch ?? 0,
-      released: content.released ?? false,
-      active: content.active ?? true,
-    };
-  } catch {
-    // Only this module writes the row; a damaged one counts as no lease.
-    return undefined;
-  }
-}
--- a/src/engines/pool_manager.ts
+++ b/src/engines/pool_manager.ts
@@ -3,16 +3,16 @@
 import type {EventLogger, Metrics} from '../observability/mod.ts';
 import {type Clock, sleep} from '../time/mod.ts';
 import {AdapterDesk} from './_adapter_desk.ts';
+import {demandByModel} from './_demand_by_model.ts';
+import {OrderDesk} from './_order_desk.ts';
+import {plannedEngines} from './_planned_engines.ts';
 import {ArrivalRates} from './arrival_rates.ts';
 import {EngineState, type PendingOrder} from './engine_state.ts';
-import type {EngineControl, OrderOutcome} from './engine_control.ts';
-import {
-  loadTime,
-  type ModelDemand,
-  type PlannedEngine,
-  type PlannedLoad,
-  planPlacement,
-} from './plan_placement.ts';
+import type {EngineControl} from './engine_control.ts';
+import {loadTime} from './load_tier.ts';
+import type {ModelDemand} from './model_demand.ts';
+import {planPlacement} from './plan_placement.ts';
+import type {PlannedLoad} from './planned_load.ts';
 import type {PoolLease} from './pool_lease.ts';
 import {RemoteLoadBudget} from './remote_load_budget.ts';
 import type {ReplicaAnnouncement} from './replica_map.ts';
@@ -38,9 +38,6 @@
 /** The same on a host that does not manage the pool. */
 const IDLE_ROUND_MILLISECONDS = 1000;
 
-/** Time in which hosts learn that a replica is withdrawn, before it is unloaded. */
-const WITHDRAWAL_MILLISECONDS = 20;
-
 /** Pause between announcements without a change, which show that the manager lives. */
 const ANNOUNCEMENT_MILLISECONDS = 500;
 
@@ -53,21 +50,12 @@
 /** Slack after which an order that should have taken effect is asked about. */
 const ORDER_SLACK_MILLISECONDS = 1500;
 
-/** Time in which the hosts' reports show the first requests for a loaded model. */
-const FRESH_MILLISECONDS = 600;
-
 /** Wait of a request after which an engine that should serve it is asked. */
 const DOUBT_MILLISECONDS = 400;
 
 /** Time for which the answer to such a question counts. */
 const TRUST_MILLISECONDS = 2000;
 
-/** Longest wait for the runs of a model that is unloaded. */
-const EVICTION_MILLISECONDS = 8000;
-
-/** Pause between two looks at an unload that is under way. */
-const EVICTION_CHECK_MILLISECONDS = 20;
-
 /** Pause between two reports of one engine while its state is in doubt. */
 const REPORT_PAUSE_MILLISECONDS = 400;
 
@@ -76,6 +64,7 @@
   private readonly stopping = new AbortController();
   private readonly engines = new Map<string, EngineState>();
   private readonly rates = new ArrivalRates();
+  private readonly orders: OrderDesk;
   private readonly adapters: AdapterDesk;
   private budget: RemoteLoadBudget | undefined;
   private epoch: number | undefined;
@@ -84,12 +73,14 @@
   private announced = '';
 
   constructor(private readonly options: PoolManagerOptions) {
-    this.adapters = new AdapterDesk({
+    const changed = () => this.announceChanges();
+    this.orders = new OrderDesk({
       ...options,
-      order: (engine, operation, model, adapter) =>
-        this.order(engine, operation, model, adapter),
-      changed: () => this.announceChanges(),
+      epoch: () => this.epoch,
+      isKnown: engine => this.engines.get(engine.record.id) === engine,
+      changed,
     });
+    this.adapters = new AdapterDesk({...options, orders: this.orders, changed});
   }
 
   /** Looks at demand and engines without waiting for the next round. */
@@ -136,11 +127,18 @@
     this.takeRows(service.name, now);
     this.announceChanges();
     if (!lease.mayAct() || this.budget === undefined) return;
-    const demand = this.demandByModel(service.name);
+    const {load} = this.options;
+    const inFlight = load.inFlight();
+    const demand = demandByModel({
+      terms,
+      waiting: load.waiting(service.name),
+      rateOf: model => this.rates.of(model),
+      isHeld: model => this.isHeld(model),
+    });
     this.doubtHolders(demand, now);
     const loads = planPlacement({
       terms,
-      engines: this.plannedEngines(terms, now),
+      engines: plannedEngines(this.engines.values(), inFlight, now),
       demand,
       remoteLoadsAllowed: this.budget.allowed(now),
       remoteLoadsRunning: this.budget.active,
@@ -149,10 +147,11 @@
         this.preloadConcurrency(demand) - this.budget.active,
       ),
     });
-    for (const load of loads) void this.carryOut(load, terms);
+    for (const planned of loads) void this.carryOut(planned, terms);
     this.adapters.serve(
       [...this.engines.values()],
-      this.options.load.waiting(service.name),
+      load.waiting(service.name),
+      inFlight,
       terms,
     );
   }
@@ -286,42 +285,6 @@
     }
   }
 
-  private demandByModel(service: string): ReadonlyMap<string, ModelDemand> {
-    const demand = new Map<string, ModelDemand>();
-    const terms = this.options.service()?.engines;
-    for (const model of terms?.models.keys() ?? []) {
-      const ratePerSecond = this.rates.of(model);
-      if (ratePerSecond < 0.01) continue;
-      demand.set(model, {
-        waiting: 0,
-        timely: 0,
-        waitingForAdapters: 0,
-        priority: 9,
-        waitedMilliseconds: 0,
-        ratePerSecond,
-      });
-    }
-    for (const entry of this.options.load.waiting(service)) {
-      const [model = entry.target, adapter] = entry.target.split('/');
-      const known = demand.get(model);
-      const isForAdapter = adapter !== undefined && this.isHeld(model);
-      demand.set(model, {
-        waiting: (known?.waiting ?? 0) + (isForAdapter ? 0 : entry.requests),
-        timely: (known?.timely ?? 0) + (isForAdapter ? 0 : entry.timely),
-        waitingForAdapters:
-          (known?.waitingForAdapters ?? 0) +
-          (isForAdapter ? entry.requests : 0),
-        priority: Math.min(known?.priority ?? 9, entry.priority),
-        waitedMilliseconds: Math.max(
-          known?.waitedMilliseconds ?? 0,
-          entry.waitedMilliseconds,
-        ),
-        ratePerSecond: known?.ratePerSecond ?? 0,
-      });
-    }
-    return demand;
-  }
-
   private preloadConcurrency(demand: ReadonlyMap<string, ModelDemand>): number {
     const isWaiting = [...demand.values()].some(({waiting}) => waiting > 0);
     return isWaiting ? BUSY_PRELOAD_CONCURRENCY : PRELOAD_CONCURRENCY;
@@ -333,41 +296,6 @@
     );
   }
 
-  private plannedEngines(
-    terms: EnginePoolTerms,
-    now: number,
-  ): readonly PlannedEngine[] {
-    const inFlight = this.options.load.inFlight();
-    const reachable = [...this.engines.values()].filter(
-      engine => !engine.isUnreachable,
-    );
-    return reachable.map(engine => {
-      const {pending} = engine;
-      const remaining =
-        pending === undefined ? 0 : Math.max(1, pending.expectedAt - now);
-      const isTaken = engine.isOrdering || engine.isUncertain;
-      return {
-        id: engine.record.id,
-        models: engine.models,
-        adapters: engine.adapters,
-        loading:
-          pending?.operation === 'load' ? pending.model : engine.reservedFor,
-        busyMilliseconds: isTaken ? Math.max(remaining, 50) : remaining,
-        inMemory: engine.inMemory,
-        onDisk: engine.onDisk,
-        inFlight: byModel(inFlight.get(engine.record.id)),
-        fresh: new Set(
-          [...engine.loadedAt]
-            .filter(([, at]) => now - at < FRESH_MILLISECONDS)
-            .map(([model]) => model),
-        ),
-        loadedFor: new Map(
-          [...engine.loadedAt].map(([model, at]) => [model, now - at]),
-        ),
-      };
-    });
-  }
-
   /** Evicts what has to leave, one order at a time, and then loads. */
   private async carryOut(
     load: PlannedLoad,
@@ -386,10 +314,15 @@
     let isUnderWay = false;
     try {
       for (const eviction of load.evictions) {
-        if (!(await this.evict(engine, eviction))) return;
+        if (!(await this.orders.evict(engine, eviction))) return;
       }
       const startedAt = clock.monotonicMilliseconds();
-      const outcome = await this.order(engine, 'load', load.model, undefined);
+      const outcome = await this.orders.order(
+        engine,
+        'load',
+        load.model,
+        undefined,
+      );
       if (outcome !== 'accepted' && outcome !== 'unknown') return;
       isUnderWay = true;
       engine.pending = {
@@ -407,86 +340,6 @@
     }
   }
 
-  /** Unloads a model and waits until it is gone; false when it may not be. */
-  private async evict(engine: EngineState, model: string): Promise<boolean> {
-    const {clock} = this.options;
-    engine.withdrawn.add(model);
-    this.announceChanges();
-    await sleep(clock, WITHDRAWAL_MILLISECONDS);
-    const startedAt = clock.monotonicMilliseconds();
-    const outcome = await this.order(engine, 'unload', model, undefined);
-    if (outcome === 'done') {
-      engine.models.delete(model);
-      engine.withdrawn.delete(model);
-      return true;
-    }
-    if (outcome !== 'accepted' && outcome !== 'unknown') {
-      engine.withdrawn.delete(model);
-      return false;
-    }
-    engine.pending = {
-      operation: 'unload',
-      model,
-      tier: undefined,
-      startedAt,
-      expectedAt: startedAt,
-    };
-    if (outcome === 'unknown') return false;
-    while (engine.pending !== undefined) {
-      const waited = clock.monotonicMilliseconds() - startedAt;
-      if (waited > EVICTION_MILLISECONDS) return false;
-      if (this.engines.get(engine.record.id) !== engine) return false;
-      await sleep(clock, EVICTION_CHECK_MILLISECONDS);
-    }
-    return !engine.models.has(model);
-  }
-
-  /** Gives one order, if the lease still allows it at this moment. */
-  private async order(
-    engine: EngineState,
-    operation: 'load' | 'unload',
-    model: string,
-    adapter: string | undefined,
-  ): Promise<OrderOutcome> {
-    const {lease, control, logger, metrics, hostId} = this.options;
-    const {epoch} = lease;
-    if (epoch === undefined || epoch !== this.epoch || !lease.mayAct()) {
-      return 'unsent';
-    }
-    const expectedOrders = engine.ordersAccepted;
-    if (expectedOrders === undefined) return 'unsent';
-    lease.beginOrder();
-    const outcome = await control.order(engine.record, {
-      operation,
-      model,
-      adapter,
-      expectedOrders,
-      holder: hostId,
-      fence: epoch,
-    });
-    lease.endOrder();
-    logger.event('orderGiven', {
-      endpoint: engine.record.id,
-      operation,
-      model,
-      adapter,
-      expectedOrders,
-      epoch,
-      outcome,
-    });
-    metrics.increment('limpetdale_orders_total', {operation, outcome});
-    if (
-      outcome === 'accepted' ||
-      (outcome === 'done' && operation === 'unload')
-    ) {
-      engine.ordersAccepted = expectedOrders + 1;
-    } else {
-      engine.isUncertain = true;
-      if (outcome === 'unsent') engine.isUnreachable = true;
-    }
-    return outcome;
-  }
-
   /** Tells the hosts what the engines hold, when it changed or now and then. */
   private announceChanges(): void {
     const service = this.options.service();
@@ -521,14 +374,3 @@
     });
   }
 }
-
-function byModel(
-  targets: ReadonlyMap<string, number> | undefined,
-): ReadonlyMap<string, number> {
-  const sums = new Map<string, number>();
-  for (const [target, requests] of targets ?? []) {
-    const model = target.split('/')[0] ?? target;
-    sums.set(model, (sums.get(model) ?? 0) + requests);
-  }
-  return sums;
-}
--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -67,6 +67,7 @@
       sleep(clock, CLOSING_MILLISECONDS / 2),
     ]);
     this.container.get(StoreFollowers).stop();
+    this.container.get(FleetExchange).stop();
     this.container.get(EntryListeners).close();
     logger.event('hostStopped', {elapsed: Math.round(elapsed())});
   }
--- a/src/entry/entry_host_test.ts
+++ b/src/entry/entry_host_test.ts
@@ -1,8 +1,8 @@
-import {createServer, request as httpRequest} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {request as httpRequest} from 'node:http';
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
 import {createEventLogger} from '../observability/mod.ts';
 import {createPlatform} from '../platform/mod.ts';
+import {freePorts} from '../testing/free_ports.ts';
 import {
   entrySettings,
   PLATFORM_KEY,
@@ -12,25 +12,11 @@
   type EndpointTrouble,
   PlatformEndpointStandIn,
 } from '../testing/platform_endpoint_stand_in.ts';
+import {send} from '../testing/platform_caller.ts';
 import {PlatformStoreStandIn} from '../testing/platform_store_stand_in.ts';
 import {SystemClock} from '../time/mod.ts';
 import {EntryHost} from './mod.ts';
 
-interface Answer {
-  readonly status: number;
-  readonly headers: NodeJS.Dict<string | string[]>;
-  readonly body: string;
-  /** Whether the connection ended before the answer did. */
-  readonly isBroken: boolean;
-}
-
-interface Sent {
-  path: string;
-  method?: string;
-  headers?: Record<string, string>;
-  body?: string;
-}
-
 let store: PlatformStoreStandIn;
 let plain: PlatformEndpointStandIn[];
 let engines: PlatformEndpointStandIn[];
@@ -410,24 +396,6 @@
     .toBe(true);
 }
 
-async function freePorts(count: number): Promise<number[]> {
-  const servers = Array.from({length: count}, () => createServer());
-  const found = await Promise.all(
-    servers.map(
-      server =>
-        new Promise<number>(resolve =>
-          server.listen(0, '127.0.0.1', () =>
-            resolve((server.address() as AddressInfo).port),
-          ),
-        ),
-    ),
-  );
-  await Promise.all(
-    servers.map(server => new Promise(resolve => server.close(resolve))),
-  );
-  return found;
-}
-
 /** Lets the endpoints have a number of troubled answers together. */
 function shareTroubles(trouble: EndpointTrouble, troubles: number): void {
   const shared = {left: troubles};
@@ -443,35 +411,3 @@
 function allRuns() {
   return [...plain, ...engines].flatMap(endpoint => endpoint.ran);
 }
-
-function send(port: number, sent: Sent): Promise<Answer> {
-  return new Promise((resolve, reject) => {
-    const request = httpRequest({
-      host: '127.0.0.1',
-      port,
-      method: sent.method ?? 'GET',
-      path: sent.path,
-      headers: {
-        Host: 'api.example',
-        'Request-Id': 'request-1',
-        'X-Api-Key': PLATFORM_KEY,
-        ...sent.headers,
-      },
-    });
-    request.on('error', reject);
-    request.on('response', response => {
-      let body = '';
-      const finish = (isBroken: boolean) =>
-        resolve({
-          status: response.statusCode ?? 0,
-          headers: response.headers,
-          body,
-          isBroken,
-        });
-      response.on('data', (chunk: Buffer) => (body += chunk.toString()));
-      response.on('end', () => finish(false));
-      response.on('error', () => finish(true));
-    });
-    request.end(sent.body);
-  });
-}
--- a/src/entry/pool_runtimes.ts
+++ b/src/entry/pool_runtimes.ts
@@ -1,5 +1,10 @@
-import {type EngineControl, PoolLease, PoolManager} from '../engines/mod.ts';
-import type {LeaseRenewal, ReplicaAnnouncement} from '../engines/mod.ts';
+import {
+  type EngineControl,
+  type LeaseRenewal,
+  PoolLease,
+  PoolManager,
+  type ReplicaAnnouncement,
+} from '../engines/mod.ts';
 import type {EndpointRegistry, FleetLoad} from '../fleet/mod.ts';
 import type {EventLogger, Metrics} from '../observability/mod.ts';
 import type {RowStore} from '../stores/mod.ts';
--- a/src/fleet/endpoint_registry.ts
+++ b/src/fleet/endpoint_registry.ts
@@ -42,19 +42,6 @@
     return this.endpoints.values();
   }
 
-  /** An endpoint by its id. */
-  get(id: string): Endpoint | undefined {
-    return this.endpoints.get(id);
-  }
-
-  /** Whether new requests may go to an endpoint. */
-  isUsable(endpoint: Endpoint): boolean {
-    return (
-      this.endpoints.get(endpoint.record.id) === endpoint &&
-      !this.leaving.has(endpoint.incarnation)
-    );
-  }
-
   /** Calls `listener` after each change. */
   onChange(listener: () => void): void {
     this.listeners.add(listener);
--- a/src/platform/decode_configuration.ts
+++ b/src/platform/decode_configuration.ts
@@ -1,11 +1,12 @@
-import type {
-  DeploymentConfiguration,
-  EnginePoolTerms,
-  Route,
-  RouteKind,
-  RouteTarget,
-  ServiceTerms,
-  TeamTerms,
+import {
+  callerPatience,
+  type DeploymentConfiguration,
+  type EnginePoolTerms,
+  type Route,
+  type RouteKind,
+  type RouteTarget,
+  type ServiceTerms,
+  type TeamTerms,
 } from '../deployment/mod.ts';
 import {
   isWireObject,
@@ -45,7 +46,6 @@
       ]),
     ),
     limits: {
-      headerBytes: numberOf(limits['max_header_bytes'], 16_384),
       bodyBytes: numberOf(limits['max_body_bytes'], 4_194_304),
       headerMilliseconds: numberOf(limits['header_timeout_ms'], 3000),
       idleMilliseconds: numberOf(limits['idle_timeout_ms'], 15_000),
@@ -71,24 +71,15 @@
     maximumAttempts: Math.max(1, numberOf(route['max_attempts'], 1)),
     open: route['public'] === true,
     resumable: route['resumable'] === true,
-    patienceMilliseconds: patienceOf(route, kind),
+    patienceMilliseconds: callerPatience({
+      isStream: kind === 'streaming',
+      timeoutMilliseconds: numberOf(route['timeout_ms'], 30_000),
+      objectiveMilliseconds: numberOf(route['target_latency_ms']),
+      pauseMilliseconds: numberOf(route['gap_target_ms']),
+    }),
   };
 }
 
-/** Callers leave a stream that has been silent for the longest of these. */
-const STREAM_PATIENCE_MILLISECONDS = 2000;
-const STREAM_PATIENCE_OBJECTIVES = 4;
-const STREAM_PATIENCE_PAUSES = 8;
-
-function patienceOf(route: WireObject, kind: string): number {
-  if (kind !== 'streaming') return numberOf(route['timeout_ms'], 30_000);
-  return Math.max(
-    STREAM_PATIENCE_MILLISECONDS,
-    STREAM_PATIENCE_OBJECTIVES * numberOf(route['target_latency_ms']),
-    STREAM_PATIENCE_PAUSES * numberOf(route['gap_target_ms']),
-  );
-}
-
 /** A route has either one `service` or a `traffic_split` over several. */
 function decodeTargets(route: WireObject): readonly RouteTarget[] {
   const split = objectsOf(route['traffic_split']);
@@ -105,7 +96,6 @@
   const engine = service['engine'];
   return {
     name: textOf(service['name']),
-    healthPath: textOf(service['health_path']),
     connectionLimit: numberOf(service['connection_limit'], 100),
     engines: isWireObject(engine) ? decodeEnginePool(engine) : undefined,
   };
@@ -114,12 +104,9 @@
 function decodeEnginePool(engine: WireObject): EnginePoolTerms {
   return {
     slots: numberOf(engine['slots'], 1),
-    cacheTokens: numberOf(engine['kv_cache_tokens']),
     weightsMegabytes: numberOf(engine['weights_mb']),
     adapterCapacity: numberOf(engine['adapter_capacity']),
     loadsPerSecond: numberOf(engine['loads_per_s'], 1),
-    hostMegabytes: numberOf(engine['host_mb']),
-    diskMegabytes: numberOf(engine['disk_mb']),
     models: new Map(
       objectsOf(engine['models']).map(model => {
         const remoteLoadMilliseconds =
--- a/src/stores/transaction_writer_test.ts
+++ b/src/stores/transaction_writer_test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, test} from 'vitest';
 import {SILENT_LOGGER} from '../observability/mod.ts';
-import {ManualClock, MemoryTable} from '../testing/mod.ts';
+import {ManualClock, MemoryTable, settle} from '../testing/mod.ts';
 import type {CommitResult, TableTransaction} from './mod.ts';
 import {markerKey, TransactionWriter} from './mod.ts';
 
@@ -54,20 +54,6 @@
   }
 }
 
-async function settle<Value>(
-  clock: ManualClock,
-  promise: Promise<Value>,
-): Promise<Value> {
-  let settled = false;
-  void promise.finally(() => {
-    settled = true;
-  });
-  for (let step = 0; step < 500 && !settled; step++) {
-    await clock.advanceAsync(50);
-  }
-  return promise;
-}
-
 function createWriter(table: MemoryTable, clock = new ManualClock()) {
   const writer = new TransactionWriter({
     table,
--- a/src/testing/mod.ts
+++ b/src/testing/mod.ts
@@ -28,6 +28,7 @@
   ServiceStandIn,
   type ServiceStandInOptions,
 } from './service_stand_in.ts';
+export {settle} from './settle.ts';
 export {
   type BoundViolation,
   type SpendEvent,
