Load empty engines together and answer a time-out with 504

Causes: (a) planPlacement counted every engine against the third that may load from the weight store, also engines that could serve nobody from their disks, and an engine that had just been given a load still cost as much as a free one, so the plan ended at it. Ruled out: the weight store's budget (4 loads were allowed).

--- a/src/engines/_placement_plan.ts
+++ b/src/engines/_placement_plan.ts
@@ -18,8 +18,9 @@
 const STANDBY_EVICTION_COST_MILLISECONDS = 3000;
 
 /**
- * Share of the engines that may load from the weight store while requests wait.
- * Such a load occupies an engine for as long as several loads from its disk.
+ * Share of the engines with a copy of an awaited model that may load from the
+ * weight store meanwhile. Such a load occupies an engine for as long as several
+ * loads from its disk.
  */
 const REMOTE_SHARE = 1 / 3;
 
@@ -57,7 +58,8 @@
 /** State of one call of {@link planPlacement}. */
 export class PlacementPlan {
   readonly loads: PlannedLoad[] = [];
-  private readonly assignedEngines = new Set<string>();
+  /** Duration of the load planned for each engine in this round. */
+  private readonly assignedMilliseconds = new Map<string, number>();
   /** Whether requests wait for any model. */
   private readonly hasWaitingRequests: boolean;
   /** Cached replica ranges by model. */
@@ -70,7 +72,7 @@
       ({waiting}) => waiting > 0,
     );
     const maximumRunning = this.hasWaitingRequests
-      ? Math.max(1, Math.floor(input.engines.length * REMOTE_SHARE))
+      ? maximumRemoteLoads(input)
       : Number.POSITIVE_INFINITY;
     this.remoteLoads = Math.min(
       input.remoteLoadsAllowed,
@@ -125,7 +127,10 @@
     const [best] = options;
     if (best === undefined || best.isBusy) return false;
     if (best.load.tier === 'remote') this.remoteLoads--;
-    this.assignedEngines.add(best.load.engineId);
+    this.assignedMilliseconds.set(
+      best.load.engineId,
+      best.load.expectedMilliseconds,
+    );
     this.loads.push(best.load);
     return true;
   }
@@ -136,8 +141,9 @@
     reason: PlannedLoad['reason'],
   ) {
     if (engine.models.has(model.name)) return undefined;
-    const isBusy =
-      engine.busyMilliseconds > 0 || this.assignedEngines.has(engine.id);
+    const busyMilliseconds =
+      engine.busyMilliseconds + (this.assignedMilliseconds.get(engine.id) ?? 0);
+    const isBusy = busyMilliseconds > 0;
     if (isBusy && reason !== 'waiting') return undefined;
     const tier = nearestTier(engine, model.name);
     if (tier === 'remote' && this.remoteLoads <= 0) return undefined;
@@ -157,7 +163,7 @@
     if (evictions === undefined) return undefined;
     const loadMilliseconds = expectedLoadMilliseconds(model, tier);
     const expectedMilliseconds =
-      engine.busyMilliseconds + evictions.wait + loadMilliseconds;
+      busyMilliseconds + evictions.wait + loadMilliseconds;
     const copies = engine.onDisk.size + engine.inMemory.size;
     return {
       isBusy,
@@ -303,6 +309,22 @@
   }
 }
 
+/**
+ * Number of engines that may load from the weight store while requests wait.
+ * Engines without a copy of any awaited model serve nobody by loading from
+ * their disks, so they are not counted against the share.
+ */
+function maximumRemoteLoads({engines, demand}: PlacementInput): number {
+  const awaited = [...demand].flatMap(([model, {waiting}]) =>
+    waiting > 0 ? [model] : [],
+  );
+  const useful = engines.filter(engine =>
+    awaited.some(model => nearestTier(engine, model) !== 'remote'),
+  ).length;
+  const others = engines.length - useful;
+  return Math.max(1, others + Math.floor(useful * REMOTE_SHARE));
+}
+
 /**
  * Expected time until the running requests of a model have finished, given that
  * most of them started when it was loaded.
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -61,6 +61,8 @@
   | {
       readonly kind: 'broken';
       readonly reason: string;
+      /** Whether the endpoint's head did not arrive within the time-out. */
+      readonly timedOut?: boolean;
       /** Forwards the endpoint's response when no attempt is left. */
       readonly fallback?: () => void;
     };
@@ -136,8 +138,9 @@
       outcome.fallback();
       return undefined;
     }
+    const hasTimedOut = outcome.kind === 'broken' && outcome.timedOut === true;
     const code =
-      this.remaining() <= 0
+      hasTimedOut || this.remaining() <= 0
         ? REQUEST_ERROR_CODES.deadlineExceeded
         : REQUEST_ERROR_CODES.endpointFailed;
     return this.error(code, outcome.reason, this.runCount === 0);
@@ -192,7 +195,7 @@
       case 'unknown':
         if (!this.abortController.signal.aborted)
           this.recordBrokenEndpoint(endpoint);
-        return {kind: 'broken', reason: sent.reason};
+        return {kind: 'broken', reason: sent.reason, timedOut: sent.timedOut};
       case 'answer':
         return this.handleResponse(endpoint, sent);
       default:
