--- a/src/engines/_placement_plan.ts
+++ b/src/engines/_placement_plan.ts
@@ -62,6 +62,11 @@
   private readonly assignedMilliseconds = new Map<string, number>();
   /** Whether requests wait for any model. */
   private readonly hasWaitingRequests: boolean;
+  /** Replicas and unfinished requests of each model, over all engines. */
+  private readonly replicas = new Map<string, number>();
+  private readonly inFlight = new Map<string, number>();
+  /** Models that are being loaded or planned to be. */
+  private readonly loading = new Set<string>();
   /** Cached replica ranges by model. */
   private readonly replicaRanges = new Map<string, ReplicaRange>();
   private remoteLoads: number;
@@ -79,6 +84,13 @@
       maximumRunning - input.remoteLoadsRunning,
     );
     this.preloads = input.preloadsAllowed;
+    for (const engine of input.engines) {
+      for (const model of engine.models) increase(this.replicas, model, 1);
+      for (const [model, requests] of engine.inFlight) {
+        increase(this.inFlight, model, requests);
+      }
+      if (engine.loading !== undefined) this.loading.add(engine.loading);
+    }
   }
 
   /** Plans loads of models for which requests wait, in order of benefit. */
@@ -102,15 +114,9 @@
 
   /** Plans loads of models of which no engine has a copy. */
   preload(): void {
-    const missing = [...this.input.pool.models.keys()].filter(
-      model =>
-        !this.isLoading(model) &&
-        this.input.engines.every(
-          engine => nearestTier(engine, model) === 'remote',
-        ),
-    );
-    for (const model of missing) {
+    for (const model of this.input.pool.models.keys()) {
       if (this.preloads <= 0 || this.remoteLoads <= 0) return;
+      if (this.isLoading(model) || this.hasCopy(model)) continue;
       if (this.planLoad(model, 'preload')) this.preloads--;
     }
   }
@@ -132,6 +138,7 @@
       best.load.expectedMilliseconds,
     );
     this.loads.push(best.load);
+    this.loading.add(model);
     return true;
   }
 
@@ -277,10 +284,7 @@
     const known = this.replicaRanges.get(model);
     if (known !== undefined) return known;
     const rate = this.input.demand.get(model)?.ratePerSecond ?? 0;
-    const inFlight = this.input.engines.reduce(
-      (sum, engine) => sum + (engine.inFlight.get(model) ?? 0),
-      0,
-    );
+    const inFlight = this.inFlight.get(model) ?? 0;
     const range = desiredReplicas(this.input.pool, rate, inFlight);
     this.replicaRanges.set(model, range);
     return range;
@@ -291,24 +295,32 @@
    */
   private shouldWaitForCopy({name}: ModelConfiguration): boolean {
     const waited = this.input.demand.get(name)?.waitedMilliseconds ?? 0;
-    return (
-      waited < IGNORE_COPY_AFTER_MILLISECONDS &&
-      this.input.engines.some(engine => nearestTier(engine, name) !== 'remote')
+    return waited < IGNORE_COPY_AFTER_MILLISECONDS && this.hasCopy(name);
+  }
+
+  private hasCopy(model: string): boolean {
+    return this.input.engines.some(
+      engine => nearestTier(engine, model) !== 'remote',
     );
   }
 
   private replicasOf(model: string): number {
-    return this.input.engines.filter(engine => engine.models.has(model)).length;
+    return this.replicas.get(model) ?? 0;
   }
 
   private isLoading(model: string): boolean {
-    return (
-      this.input.engines.some(engine => engine.loading === model) ||
-      this.loads.some(load => load.model === model)
-    );
+    return this.loading.has(model);
   }
 }
 
+function increase(
+  counts: Map<string, number>,
+  key: string,
+  amount: number,
+): void {
+  counts.set(key, (counts.get(key) ?? 0) + amount);
+}
+
 /**
  * Number of engines that may load from the weight store while requests wait.
  * Engines without a copy of any awaited model serve nobody by loading from
--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -197,24 +197,32 @@
   }
 
   /**
-   * Refuses a request whose model cannot be loaded before its caller times out.
+   * Refuses a request whose model cannot be loaded before its caller times out:
+   * at once if the manager of the pool already knows it.
    */
   private refuseIfTooLate(
     request: RoutedRequest,
     target: string,
   ): Result<Endpoint, RequestError> | undefined {
-    const now = this.options.clock.monotonicMilliseconds();
+    const {clock, replicas, onDemandChanged} = this.options;
+    const now = clock.monotonicMilliseconds();
     const deadline = this.waitDeadline(request);
+    const service = request.service.name;
     const model = request.metadata.model ?? target;
-    const expectedAt =
-      this.options.replicas.expectedAt(request.service.name, model) ?? now;
-    if (now < deadline && expectedAt < deadline) return undefined;
-    this.refused.set(`${request.service.name} ${target}`, {request, at: now});
-    this.options.onDemandChanged();
+    const expectedAt = replicas.expectedAt(service, model);
+    const unavailableUntil =
+      expectedAt === undefined
+        ? replicas.unavailableUntil(service, model)
+        : undefined;
+    const readyAt = expectedAt ?? unavailableUntil ?? now;
+    const isHopeless = unavailableUntil !== undefined || readyAt >= deadline;
+    if (now < deadline && !isHopeless) return undefined;
+    this.refused.set(`${service} ${target}`, {request, at: now});
+    onDemandChanged();
     return refusal(
       REQUEST_ERROR_CODES.noReplica,
       `No engine can load "${target}" within the caller's time-out`,
-      Math.max(RETRY_AFTER_MILLISECONDS, expectedAt - now),
+      Math.max(RETRY_AFTER_MILLISECONDS, readyAt - now),
     );
   }
 
--- a/src/engines/mod.ts
+++ b/src/engines/mod.ts
@@ -25,6 +25,11 @@
   OrderOutcome,
 } from './engine_control.ts';
 export {EngineState, type PendingOrder} from './engine_state.ts';
+export {
+  type ForecastInput,
+  forecastLoads,
+  type LoadForecast,
+} from './forecast_loads.ts';
 export {loadBenefit} from './load_benefit.ts';
 export type {LoadTier} from './load_tier.ts';
 export type {ModelDemand} from './model_demand.ts';
--- a/src/engines/pool_manager.ts
+++ b/src/engines/pool_manager.ts
@@ -12,6 +12,7 @@
 import {ArrivalRates} from './arrival_rates.ts';
 import {EngineState, type PendingOrder} from './engine_state.ts';
 import type {EngineControl} from './engine_control.ts';
+import {forecastLoads, type LoadForecast} from './forecast_loads.ts';
 import {expectedLoadMilliseconds} from './load_tier.ts';
 import type {ModelDemand} from './model_demand.ts';
 import {planPlacement} from './plan_placement.ts';
@@ -38,6 +39,12 @@
 /** Interval between placement rounds. */
 const ROUND_MILLISECONDS = 150;
 
+/**
+ * Ratio of the pause between rounds to the time that a round takes, so that rounds
+ * use at most a fifth of the processor even if each request asks for one.
+ */
+const PAUSE_PER_ROUND_TIME = 4;
+
 /** Interval between rounds on a host that does not manage the pool. */
 const IDLE_ROUND_MILLISECONDS = 1000;
 
@@ -71,6 +78,8 @@
 /** Minimum interval between reports of an engine whose state is unknown. */
 const REPORT_PAUSE_MILLISECONDS = 400;
 
+const NO_FORECAST: LoadForecast = {readyIn: new Map(), unavailable: new Set()};
+
 /** Loads and unloads the models of one pool while this host holds its lease. */
 export class PoolManager {
   private readonly stopping = new AbortController();
@@ -82,7 +91,11 @@
   private epoch: number | undefined;
   private wake: () => void = () => undefined;
   private announcedAt = Number.NEGATIVE_INFINITY;
-  private announced = '';
+  /** Last announced state of each engine. */
+  private announced: ReadonlyMap<string, string> = new Map();
+  private announcedExpected = '';
+  private announcedUnavailable = '';
+  private forecast: LoadForecast = NO_FORECAST;
 
   constructor(private readonly options: PoolManagerOptions) {
     const onChange = () => this.announceChanges();
@@ -107,8 +120,12 @@
   /** Manages the pool until {@link stop}. */
   async run(): Promise<void> {
     const {signal} = this.stopping;
+    const {clock} = this.options;
     while (!signal.aborted) {
+      const startedAt = clock.monotonicMilliseconds();
       this.round();
+      const took = clock.monotonicMilliseconds() - startedAt;
+      await sleep(clock, took * PAUSE_PER_ROUND_TIME, signal);
       await this.nextRound();
     }
   }
@@ -152,17 +169,20 @@
       isLoaded: model => this.isLoaded(model),
     });
     this.recheckHolders(demand, now);
+    const engines = snapshotEngines(this.engines.values(), inFlight, now);
+    const remoteLoadsAllowed = this.budget.allowed(now);
     const loads = planPlacement({
       pool,
-      engines: snapshotEngines(this.engines.values(), inFlight, now),
+      engines,
       demand,
-      remoteLoadsAllowed: this.budget.allowed(now),
+      remoteLoadsAllowed,
       remoteLoadsRunning: this.budget.active,
       preloadsAllowed: Math.max(
         0,
         this.preloadConcurrency(demand) - this.budget.active,
       ),
     });
+    this.forecast = forecastLoads({pool, engines, demand, remoteLoadsAllowed});
     for (const planned of loads) void this.executeLoad(planned, pool);
     this.adapters.startLoads(
       [...this.engines.values()],
@@ -174,6 +194,8 @@
 
   private endTerm(): void {
     this.engines.clear();
+    this.announced = new Map();
+    this.forecast = NO_FORECAST;
     this.epoch = undefined;
     this.budget = undefined;
   }
@@ -373,40 +395,98 @@
     }
   }
 
-  /**
-   * Announces the engines' targets when they have changed or the interval is
-   * over.
-   */
-  private announceChanges(): void {
+  /** Complete state of the pool's engines; undefined while it isn't managed here. */
+  currentAnnouncement(): ReplicaAnnouncement | undefined {
     const service = this.options.service();
     const {epoch} = this;
-    if (service === undefined || epoch === undefined) return;
+    if (service === undefined || epoch === undefined) return undefined;
     const now = this.options.clock.monotonicMilliseconds();
-    const engines = [...this.engines.values()].map(engine => ({
-      endpoint: engine.record.id,
-      startedAt: engine.record.startedAt,
-      targets: engine.availableTargets(),
-    }));
-    const expected = [...this.engines.values()].flatMap(({pending}) => {
-      if (pending?.operation !== 'load') return [];
-      const readyInMilliseconds = Math.max(0, pending.expectedAt - now);
-      return [{target: pending.model, readyInMilliseconds}];
-    });
-    const content = JSON.stringify([
-      engines,
-      expected.map(({target}) => target),
-    ]);
-    const isDue = now - this.announcedAt >= ANNOUNCEMENT_MILLISECONDS;
-    if (content === this.announced && !isDue) return;
-    this.announced = content;
-    this.announcedAt = now;
     const {renewal} = this.options.lease;
-    this.options.announce({
+    return {
       service: service.name,
       epoch,
       ...(renewal === undefined ? {} : {renewal}),
-      engines,
-      expected,
+      engines: [...this.engines.values()].map(engine => ({
+        endpoint: engine.record.id,
+        startedAt: engine.record.startedAt,
+        targets: engine.availableTargets(),
+      })),
+      expected: [...this.expectedReadiness(now)].map(
+        ([target, readyInMilliseconds]) => ({target, readyInMilliseconds}),
+      ),
+      unavailable: {
+        models: [...this.forecast.unavailable],
+        readyInMilliseconds: this.nextRemoteReadiness(now),
+      },
+    };
+  }
+
+  /** Milliseconds until awaited models are ready, by model. */
+  private expectedReadiness(now: number): ReadonlyMap<string, number> {
+    const expected = new Map(this.forecast.readyIn);
+    for (const {pending} of this.engines.values()) {
+      if (pending?.operation !== 'load') continue;
+      expected.set(pending.model, Math.max(0, pending.expectedAt - now));
+    }
+    return expected;
+  }
+
+  /** Milliseconds until a load from the weight store that starts next can be ready. */
+  private nextRemoteReadiness(now: number): number {
+    const running = [...this.engines.values()].flatMap(({pending}) =>
+      pending?.tier === 'remote'
+        ? [
+            {
+              remaining: Math.max(0, pending.expectedAt - now),
+              takes: pending.expectedAt - pending.startedAt,
+            },
+          ]
+        : [],
+    );
+    if (running.length === 0) return 0;
+    return (
+      Math.min(...running.map(({remaining}) => remaining)) +
+      Math.max(...running.map(({takes}) => takes))
+    );
+  }
+
+  /**
+   * Announces the engines whose targets have changed, or none of them as a sign
+   * of life when the interval is over.
+   */
+  private announceChanges(): void {
+    const announcement = this.currentAnnouncement();
+    if (announcement === undefined) return;
+    const now = this.options.clock.monotonicMilliseconds();
+    const contents = new Map(
+      announcement.engines.map(engine => [
+        engine.endpoint,
+        `${engine.startedAt} ${engine.targets.join(' ')}`,
+      ]),
+    );
+    const changed = announcement.engines.filter(
+      ({endpoint}) => this.announced.get(endpoint) !== contents.get(endpoint),
+    );
+    const expected = announcement.expected.map(({target}) => target).join(' ');
+    const isDue = now - this.announcedAt >= ANNOUNCEMENT_MILLISECONDS;
+    const unavailable = announcement.unavailable?.models.join(' ') ?? '';
+    const isUnavailableChanged = unavailable !== this.announcedUnavailable;
+    const hasChanged =
+      changed.length > 0 ||
+      expected !== this.announcedExpected ||
+      isUnavailableChanged;
+    if (!hasChanged && !isDue) return;
+    this.announcedUnavailable = unavailable;
+    this.announced = contents;
+    this.announcedExpected = expected;
+    this.announcedAt = now;
+    const {unavailable: models, ...rest} = announcement;
+    this.options.announce({
+      ...rest,
+      engines: changed,
+      ...(isUnavailableChanged && models !== undefined
+        ? {unavailable: models}
+        : {}),
     });
   }
 }
--- a/src/engines/remote_load_budget_test.ts
+++ b/src/engines/remote_load_budget_test.ts
@@ -36,4 +36,24 @@
     expect(budget.allowed(2999)).toBe(0);
     expect(budget.allowed(3000)).toBeGreaterThan(0);
   });
+
+  // The store serves a number of loads at full speed that no page tells, and slows
+  // all down in proportion beyond it.
+  test.each([
+    {atFullSpeed: 2, expected: 2},
+    {atFullSpeed: 4, expected: 4},
+    {atFullSpeed: 8, expected: 8},
+  ])(
+    'a store that serves $atFullSpeed loads at full speed gets $expected',
+    ({atFullSpeed, expected}) => {
+      const budget = new RemoteLoadBudget({loadsPerSecond: 50, startsAt: 0});
+      for (let now = 0; now < 400_000; now += 20_000) {
+        const count = budget.allowed(now);
+        for (let load = 0; load < count; load++) budget.begin(now);
+        const took = 6000 * Math.max(1, count / atFullSpeed);
+        for (let load = 0; load < count; load++) budget.end(took, 6000);
+      }
+      expect(budget.allowed(400_000)).toBe(expected);
+    },
+  );
 });
--- a/src/engines/replica_map.ts
+++ b/src/engines/replica_map.ts
@@ -3,7 +3,10 @@
 import type {Clock} from '../time/mod.ts';
 
 /** Replicas of a pool's engines, as announced by the pool's manager. */
-export type ReplicaAnnouncement = Omit<PeerMessageOf<'replica_state'>, 'kind'>;
+export type ReplicaAnnouncement = Omit<
+  PeerMessageOf<'replica_state'>,
+  'kind' | 'hops'
+>;
 
 /** Options of {@link ReplicaMap}. */
 export interface ReplicaMapOptions {
@@ -14,10 +17,18 @@
 interface AnnouncedEngine {
   readonly startedAt: number;
   readonly targets: ReadonlySet<string>;
-  readonly receivedAt: number;
 }
 
-/** Age above which announcements are ignored in favour of the engines' rows. */
+interface UnavailableModels {
+  readonly models: ReadonlySet<string>;
+  /** Monotonic time at which one of them can be ready. */
+  readonly readyAt: number;
+}
+
+/**
+ * Time since the last announcement of a pool after which its engines' rows are
+ * used in place of the announced state.
+ */
 export const ANNOUNCEMENT_LIFETIME_MILLISECONDS = 3000;
 
 /**
@@ -34,7 +45,9 @@
  */
 export class ReplicaMap {
   private readonly announced = new Map<string, AnnouncedEngine>();
+  private readonly announcedAt = new Map<string, number>();
   private readonly expectedReadyAt = new Map<string, Map<string, number>>();
+  private readonly unavailable = new Map<string, UnavailableModels>();
   private readonly refusedUntil = new Map<string, number>();
   private readonly epochs = new Map<string, number>();
   private readonly listeners = new Set<() => void>();
@@ -52,16 +65,21 @@
     if (epoch < (this.epochs.get(service) ?? 0)) return;
     this.epochs.set(service, epoch);
     const receivedAt = this.options.clock.monotonicMilliseconds();
+    this.announcedAt.set(service, receivedAt);
+    // An announcement lists only the engines that have changed.
     for (const {endpoint, startedAt, targets} of engines) {
-      this.announced.set(endpoint, {
-        startedAt,
-        targets: new Set(targets),
-        receivedAt,
-      });
+      this.announced.set(endpoint, {startedAt, targets: new Set(targets)});
       for (const target of targets)
         this.refusedUntil.delete(`${endpoint} ${target}`);
     }
-    // Each announcement lists all loads in progress.
+    if (announcement.unavailable !== undefined) {
+      const {models, readyInMilliseconds} = announcement.unavailable;
+      this.unavailable.set(service, {
+        models: new Set(models),
+        readyAt: receivedAt + readyInMilliseconds,
+      });
+    }
+    // Each announcement lists all awaited models that can be loaded.
     this.expectedReadyAt.set(
       service,
       new Map(
@@ -74,6 +92,42 @@
     for (const listener of this.listeners) listener();
   }
 
+  /** State of all pools with a recent announcement, for a host that has none. */
+  currentAnnouncements(): readonly ReplicaAnnouncement[] {
+    const now = this.options.clock.monotonicMilliseconds();
+    return [...this.epochs].flatMap(([service, epoch]) => {
+      const announcedAt = this.announcedAt.get(service) ?? -Infinity;
+      if (now - announcedAt > ANNOUNCEMENT_LIFETIME_MILLISECONDS) return [];
+      const engines = this.options.registry
+        .usable(service)
+        .flatMap(({record}) => {
+          const known = this.announced.get(record.id);
+          if (known === undefined) return [];
+          const {startedAt, targets} = known;
+          return [{endpoint: record.id, startedAt, targets: [...targets]}];
+        });
+      const expected = [...(this.expectedReadyAt.get(service) ?? [])].map(
+        ([target, readyAt]) => ({
+          target,
+          readyInMilliseconds: Math.max(0, readyAt - now),
+        }),
+      );
+      const unavailable = this.unavailable.get(service);
+      return [
+        {
+          service,
+          epoch,
+          engines,
+          expected,
+          unavailable: {
+            models: [...(unavailable?.models ?? [])],
+            readyInMilliseconds: (unavailable?.readyAt ?? now) - now,
+          },
+        },
+      ];
+    });
+  }
+
   /** Usable engines that have a target loaded. */
   holders(service: string, target: string): readonly Endpoint[] {
     const now = this.options.clock.monotonicMilliseconds();
@@ -87,6 +141,23 @@
     return this.expectedReadyAt.get(service)?.get(target);
   }
 
+  /**
+   * Monotonic time before which a model cannot be ready, since no engine has a copy
+   * and the weight store is busy; undefined if it can be loaded or is unknown.
+   */
+  unavailableUntil(service: string, model: string): number | undefined {
+    const now = this.options.clock.monotonicMilliseconds();
+    const announcedAt =
+      this.announcedAt.get(service) ?? Number.NEGATIVE_INFINITY;
+    if (now - announcedAt > ANNOUNCEMENT_LIFETIME_MILLISECONDS) {
+      return undefined;
+    }
+    const unavailable = this.unavailable.get(service);
+    return unavailable?.models.has(model) === true
+      ? unavailable.readyAt
+      : undefined;
+  }
+
   /** Records that an engine refused a target it should have, or was full. */
   recordRefusal(endpoint: Endpoint, target: string): void {
     this.refusedUntil.set(
@@ -100,10 +171,12 @@
     const refused = this.refusedUntil.get(`${record.id} ${target}`);
     if (refused !== undefined && now < refused) return false;
     const known = this.announced.get(record.id);
+    const announcedAt =
+      this.announcedAt.get(record.service) ?? Number.NEGATIVE_INFINITY;
     if (
       known !== undefined &&
       known.startedAt === record.startedAt &&
-      now - known.receivedAt <= ANNOUNCEMENT_LIFETIME_MILLISECONDS
+      now - announcedAt <= ANNOUNCEMENT_LIFETIME_MILLISECONDS
     ) {
       return known.targets.has(target);
     }
--- a/src/entry/configuration_source.ts
+++ b/src/entry/configuration_source.ts
@@ -13,7 +13,6 @@
 /** Holds the newest configuration seen by this process; never reverts to an older one. */
 export class ConfigurationSource {
   private current: RouteIndex | undefined;
-  private documentText = '';
 
   constructor(private readonly options: ConfigurationSourceOptions) {}
 
@@ -27,11 +26,6 @@
     return this.current?.configuration.version ?? 0;
   }
 
-  /** The current configuration document, as stored. */
-  get document(): string {
-    return this.documentText;
-  }
-
   /**
    * Applies a configuration document if it is newer than the current one.
    *
@@ -51,7 +45,6 @@
     if (configuration.version <= this.version) return;
     const formerVersion = this.version;
     this.current = new RouteIndex(configuration);
-    this.documentText = document.toString();
     onApplied(configuration);
     logger.event('configurationApplied', {
       origin,
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -4,6 +4,8 @@
 import {
   EndpointRegistry,
   FleetLoad,
+  FleetShares,
+  FleetTopology,
   HostRegistry,
   type HostRow,
 } from '../fleet/mod.ts';
@@ -71,17 +73,35 @@
     .toDynamicValue(
       () => new PeerNetwork({self, deployment: DEPLOYMENT, clock, logger}),
     );
+  const connected = () =>
+    new Set(
+      container
+        .get(PeerNetwork)
+        .connectedPeers()
+        .map(peer => peer.hostId),
+    );
   container.bind(HostRegistry).toDynamicValue(
     () =>
       new HostRegistry({
-        self: () => hostRow(self, container.get(EntryState)),
-        connected: () =>
-          new Set(
-            container
-              .get(PeerNetwork)
-              .connectedPeers()
-              .map(peer => peer.hostId),
-          ),
+        hostId: self.hostId,
+        self: () => hostRow(self, context.settings, container.get(EntryState)),
+      }),
+  );
+  container.bind(FleetTopology).toDynamicValue(
+    () =>
+      new FleetTopology({
+        clock,
+        hosts: container.get(HostRegistry),
+        connected,
+        endpointSlots: () => container.get(EndpointRegistry).slots,
+      }),
+  );
+  container.bind(FleetShares).toDynamicValue(
+    () =>
+      new FleetShares({
+        topology: container.get(FleetTopology),
+        hosts: container.get(HostRegistry),
+        connected,
       }),
   );
   container.bind(EndpointRegistry).toDynamicValue(
@@ -106,13 +126,14 @@
       new FleetStateExchange({
         peers: container.get(PeerNetwork),
         clock,
+        logger,
+        topology: container.get(FleetTopology),
         registry: container.get(EndpointRegistry),
         load: container.get(FleetLoad),
         rateLimiter: container.get(FleetRateLimiter),
         replicas: container.get(ReplicaMap),
         router: container.get(EndpointRouter),
         crashTracker: container.get(CrashTracker),
-        configuration: container.get(ConfigurationSource),
         onDemandChanged: () => container.get(PoolSupervisor).notify(),
         onManagerAnnounced: (service, renewal) =>
           container.get(PoolSupervisor).recordManager(service, renewal),
@@ -120,6 +141,17 @@
           container
             .get(PoolSupervisor)
             .recordResignation(service, epoch, sinceOrder),
+        onTableUpdate: update => container.get(StoreFollowers).receive(update),
+        missingTables: () => container.get(StoreFollowers).missingTables(),
+        tableContent: table => container.get(StoreFollowers).content(table),
+        onPeerConnected: hostId =>
+          container.get(PoolSupervisor).announceTo(announcement =>
+            container.get(PeerNetwork).send(hostId, {
+              kind: 'replica_state',
+              hops: 0,
+              ...announcement,
+            }),
+          ),
       }),
   );
 }
@@ -129,11 +161,21 @@
     .get(ConfigurationSource)
     .index?.configuration.services.get(service);
   const limit = (terms?.connectionLimit ?? 64) * CONNECTION_FRACTION;
-  return Math.max(2, Math.floor(limit / container.get(HostRegistry).size));
+  const share = container.get(FleetShares).ofBudget();
+  return Math.max(2, Math.floor(limit * share));
 }
 
-function hostRow(self: PeerIdentity, state: EntryState): HostRow {
-  return {...self, state: state.isDraining ? 'leaving' : 'ready'};
+function hostRow(
+  self: PeerIdentity,
+  {processor, linkMegabits}: EntrySettings,
+  state: EntryState,
+): HostRow {
+  return {
+    ...self,
+    state: state.isDraining ? 'leaving' : 'ready',
+    cores: processor.share * processor.speed,
+    linkMegabits,
+  };
 }
 
 function bindRequests(container: Container, context: EntryContext): void {
@@ -156,14 +198,12 @@
         },
       }),
   );
-  const hosts = () => container.get(HostRegistry).size;
+  const shares = () => container.get(FleetShares);
   container.bind(FleetRateLimiter).toDynamicValue(
     () =>
       new FleetRateLimiter({
         clock,
-        hosts,
-        connectedHosts: () =>
-          container.get(PeerNetwork).connectedPeers().length + 1,
+        rateShare: () => shares().ofKnownSpending(),
         startsFull: settings.isFirstStart,
       }),
   );
@@ -172,7 +212,7 @@
       new CrashTracker({
         clock,
         broadcast: (fingerprint, incarnation) =>
-          container.get(PeerNetwork).broadcast({
+          container.get(FleetStateExchange).announce({
             kind: 'request_broke_endpoint',
             fingerprint,
             incarnation,
@@ -194,7 +234,7 @@
           ratio: settings.retries.ratio,
           slack: settings.retries.slack,
           windowMilliseconds: settings.retries.windowSeconds * 1000,
-          hosts,
+          share: () => shares().ofBudget(),
         }),
         crashGuard: container.get(CrashTracker),
         isDraining: () => container.get(EntryState).isDraining,
@@ -209,7 +249,7 @@
         platform,
         logger,
         relay: container.get(RequestRelay),
-        hosts: container.get(HostRegistry),
+        topology: container.get(FleetTopology),
         metrics: container.get(Metrics),
         isReady: () =>
           !container.get(EntryState).isDraining &&
@@ -233,7 +273,6 @@
           container.get(EntryListeners).applyLimits(configuration.limits);
           container.get(FleetRateLimiter).configure(configuration.teams ?? []);
           container.get(PoolSupervisor).startPools();
-          container.get(FleetStateExchange).offerConfiguration();
         },
       }),
   );
@@ -246,7 +285,14 @@
         configuration: container.get(ConfigurationSource),
         endpoints: container.get(EndpointRegistry),
         hosts: container.get(HostRegistry),
+        drainMilliseconds: settings.drainMilliseconds,
+        configurationMilliseconds: settings.configurationMilliseconds,
+        isFirstStart: settings.isFirstStart,
         managesPool: () => container.get(PoolSupervisor).managesPool,
+        rank: () => container.get(FleetTopology).rank,
+        random: Math.random,
+        publish: update =>
+          container.get(FleetStateExchange).publishTable(update),
         onEndpointsChanged: () => container.get(PoolSupervisor).notify(),
       }),
   );
@@ -256,7 +302,7 @@
         store: platform.store,
         clock,
         logger,
-        row: () => hostRow(self, container.get(EntryState)),
+        row: () => container.get(HostRegistry).self,
       }),
   );
   container.bind(PoolSupervisor).toDynamicValue(
@@ -273,8 +319,9 @@
         hostId: self.hostId,
         incarnation: self.incarnation,
         orderTurnMilliseconds: settings.orderTurnMilliseconds,
+        rank: () => container.get(FleetTopology).rank,
         broadcastResignation: (service, epoch, sinceOrderMilliseconds) =>
-          container.get(PeerNetwork).broadcast({
+          container.get(FleetStateExchange).announce({
             kind: 'lease_resigned',
             service,
             epoch,
@@ -283,8 +330,8 @@
         announce: announcement => {
           container.get(ReplicaMap).receive(announcement);
           container
-            .get(PeerNetwork)
-            .broadcast({kind: 'replica_state', ...announcement});
+            .get(FleetStateExchange)
+            .announce({kind: 'replica_state', ...announcement});
         },
       }),
   );
--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -1,5 +1,10 @@
 import type {Container} from 'inversify';
-import {HostRegistry} from '../fleet/mod.ts';
+import {
+  EndpointRegistry,
+  FleetShares,
+  FleetTopology,
+  HostRegistry,
+} from '../fleet/mod.ts';
 import {PeerNetwork} from '../peers/mod.ts';
 import {RequestRelay} from '../relay/mod.ts';
 import {sleep} from '../time/mod.ts';
@@ -20,12 +25,18 @@
 /** Fraction of the grace period after which new requests are refused. */
 const REFUSAL_FRACTION = 0.45;
 
+/** Interval at which lost connections of active hosts are checked. */
+const TOPOLOGY_INTERVAL_MILLISECONDS = 500;
+
 const DRAIN_CHECK_MILLISECONDS = 100;
 
 /** An entry host on a platform: forwards requests and manages engine pools. */
 export class EntryHost {
   private readonly container: Container;
   private isStopping = false;
+  private hasStopped = false;
+  /** Share of the endpoints' connections for which limits are set. */
+  private connectionShare: number | undefined;
 
   private constructor(private readonly context: EntryContext) {
     this.container = createEntryContainer(context);
@@ -68,6 +79,7 @@
       registration.deregister(),
       sleep(clock, CLOSING_MILLISECONDS / 2),
     ]);
+    this.hasStopped = true;
     this.container.get(StoreFollowers).stop();
     this.container.get(FleetStateExchange).stop();
     this.container.get(EntryListeners).close();
@@ -83,16 +95,9 @@
       this.container.get(EntryListeners).listen(),
     ]);
     peers.start(server);
-    // Only one host of each pair opens the connection between them; a second
-    // connection would stay idle.
-    hosts.onChange(() =>
-      peers.setAddresses(
-        hosts
-          .others()
-          .filter(host => host.hostId > settings.hostId)
-          .map(host => host.peerAddress),
-      ),
-    );
+    hosts.onChange(() => this.updateTopology());
+    peers.onConnectionEvent(() => this.updateTopology());
+    void this.keepTopologyCurrent();
     this.container.get(StoreFollowers).start();
     void this.container.get(HostRegistration).register();
     void this.container.get(FleetStateExchange).run();
@@ -102,4 +107,23 @@
       isFirstStart: settings.isFirstStart,
     });
   }
+
+  /** Recomputes the roles of the hosts and connects to the peers they imply. */
+  private updateTopology(): void {
+    const topology = this.container.get(FleetTopology);
+    topology.refresh();
+    this.container.get(PeerNetwork).setAddresses(topology.peerAddresses());
+    const share = this.container.get(FleetShares).ofBudget();
+    if (share === this.connectionShare) return;
+    this.connectionShare = share;
+    this.container.get(EndpointRegistry).updateConnectionLimits();
+  }
+
+  private async keepTopologyCurrent(): Promise<void> {
+    const {clock} = this.context;
+    while (!this.hasStopped) {
+      this.updateTopology();
+      await sleep(clock, TOPOLOGY_INTERVAL_MILLISECONDS);
+    }
+  }
 }
--- a/src/entry/entry_listeners.ts
+++ b/src/entry/entry_listeners.ts
@@ -5,7 +5,7 @@
   type ServerResponse,
 } from 'node:http';
 import type {CallerLimits} from '../deployment/mod.ts';
-import type {HostRegistry} from '../fleet/mod.ts';
+import type {FleetTopology} from '../fleet/mod.ts';
 import type {EventLogger, Metrics} from '../observability/mod.ts';
 import type {RequestRelay} from '../relay/mod.ts';
 import type {EntrySettings} from './entry_settings.ts';
@@ -16,7 +16,7 @@
   settings: EntrySettings;
   platform: PlatformAdapter;
   relay: RequestRelay;
-  hosts: HostRegistry;
+  topology: FleetTopology;
   metrics: Metrics;
   logger: EventLogger;
   isReady: () => boolean;
@@ -102,13 +102,13 @@
     request: IncomingMessage,
     response: ServerResponse,
   ) {
-    const {platform, hosts, settings, logger} = this.options;
+    const {platform, topology, settings, logger} = this.options;
     const query = platform.parseAddressQuery(request.url ?? '/');
     if (query === undefined) {
       response.writeHead(404, {'Content-Length': 0}).end();
       return;
     }
-    const addresses = hosts.callerHosts().map(host => host.callerAddress);
+    const addresses = topology.callerHosts().map(host => host.callerAddress);
     if (addresses.length === 0) {
       response.writeHead(503, {'Content-Length': 0}).end();
       return;
--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -46,6 +46,23 @@
   orderTurnMilliseconds: milliseconds.describe(
     'Time that must pass between the orders of two hosts to one engine.',
   ),
+  drainMilliseconds: milliseconds
+    .default(2000)
+    .describe('Time within which a leaving endpoint must get no new requests.'),
+  configurationMilliseconds: milliseconds
+    .default(2000)
+    .describe('Time within which a new configuration must be applied.'),
+  processor: z
+    .object({share: z.number().positive(), speed: z.number().positive()})
+    .default({share: 1, speed: 1})
+    .describe(
+      'Share of a core that the host may use, and the speed of the core relative to a usual one.',
+    ),
+  linkMegabits: z
+    .number()
+    .positive()
+    .default(1000)
+    .describe('Bandwidth of the network link of the host, in Mbit/s.'),
   retries: z
     .object({
       ratio: z.number().nonnegative(),
--- a/src/entry/fleet_state_exchange.ts
+++ b/src/entry/fleet_state_exchange.ts
@@ -1,23 +1,38 @@
 import type {EndpointRouter, LeaseRenewal, ReplicaMap} from '../engines/mod.ts';
-import type {EndpointRegistry, FleetLoad, LoadReport} from '../fleet/mod.ts';
+import {unreachable} from '../errors/mod.ts';
+import {
+  type ArrivalCount,
+  type EndpointRegistry,
+  type FleetLoad,
+  type FleetTopology,
+  type LoadReport,
+  planForwarding,
+} from '../fleet/mod.ts';
 import type {FleetRateLimiter} from '../limits/mod.ts';
-import type {PeerIdentity, PeerMessage, PeerNetwork} from '../peers/mod.ts';
+import type {EventLogger} from '../observability/mod.ts';
+import type {
+  PeerIdentity,
+  PeerMessage,
+  PeerMessageOf,
+  PeerNetwork,
+} from '../peers/mod.ts';
 import type {CrashTracker} from '../relay/mod.ts';
+import type {TableUpdate} from '../stores/mod.ts';
 import {type Clock, sleep} from '../time/mod.ts';
-import {unreachable} from '../errors/mod.ts';
-import type {ConfigurationSource} from './configuration_source.ts';
+import {decodeTableUpdate, encodeTableUpdate} from './_table_message.ts';
 
 /** Options of {@link FleetStateExchange}. */
 export interface FleetStateExchangeOptions {
   peers: PeerNetwork;
   clock: Clock;
+  logger: EventLogger;
+  topology: FleetTopology;
   registry: EndpointRegistry;
   load: FleetLoad;
   rateLimiter: FleetRateLimiter;
   replicas: ReplicaMap;
   router: EndpointRouter;
   crashTracker: CrashTracker;
-  configuration: ConfigurationSource;
   /** Called when a peer reports waiting requests, which may be for a pool managed here. */
   onDemandChanged: () => void;
   /** Called when the manager of a pool announced replicas or renewed its lease. */
@@ -31,8 +46,25 @@
     epoch: number,
     sinceOrder: number,
   ) => void;
+  /**
+   * Called with the changes of a table that a peer has read.
+   *
+   * @returns Whether changes before them are missing here.
+   */
+  onTableUpdate: (update: TableUpdate) => boolean;
+  /** Returns the tables that this host has not read yet. */
+  missingTables: () => readonly string[];
+  /** Returns the whole content of a table; undefined if it is unknown. */
+  tableContent: (table: string) => TableUpdate | undefined;
+  /** Called when a peer has connected, which may lack the state of pools managed here. */
+  onPeerConnected: (hostId: string) => void;
 }
 
+/** A message that is passed on to hosts without a connection to its sender. */
+type Announcement = PeerMessageOf<
+  'table_update' | 'replica_state' | 'lease_resigned' | 'request_broke_endpoint'
+>;
+
 /** Interval between load reports. */
 const REPORT_INTERVAL_MILLISECONDS = 200;
 
@@ -42,28 +74,46 @@
 /** Interval between unchanged load reports, which serve as heartbeats. */
 const IDLE_REPORT_INTERVAL_MILLISECONDS = 500;
 
-/**
- * Delay before a newer configuration is requested from a peer. It usually
- * arrives from the store within this time.
- */
-const CONFIGURATION_REQUEST_DELAY_MILLISECONDS = 400;
+/** Interval between unchanged reports of a standby host, and between digests. */
+const STANDBY_INTERVAL_MILLISECONDS = 1000;
+
+/** Interval between requests for a table of which changes are missing. */
+const TABLE_REQUEST_INTERVAL_MILLISECONDS = 500;
+
+/** Omits keys from each member of a union. */
+type DistributiveOmit<Union, Key extends PropertyKey> = Union extends unknown
+  ? Omit<Union, Key>
+  : never;
 
 /**
- * Broadcasts the load, demand and configuration version of this host, and
- * handles the messages of its peers.
+ * Exchanges the load, demand and changes known to this host with its peers.
+ *
+ * An active host sends its reports to the other active hosts, and a digest of all
+ * reports to its standby hosts. A standby host reports only to its upstream host,
+ * which counts it as its own. Announcements are passed on along the same
+ * connections.
  */
 export class FleetStateExchange {
   private readonly abortController = new AbortController();
+  private readonly knownStandbyHosts = new Set<string>();
   private lastReport = '';
   private reportedAt = Number.NEGATIVE_INFINITY;
   private arrivalsReportedAt = Number.NEGATIVE_INFINITY;
+  private reportedArrivals = new Map<string, number>();
+  private readonly tableRequestedAt = new Map<string, number>();
+  private digestSentAt = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: FleetStateExchangeOptions) {
     options.peers.onMessage((from, message) => this.receive(from, message));
     options.peers.onConnectionEvent(observation => {
-      if (observation.kind === 'connected') this.offerConfiguration();
+      if (observation.kind === 'connected') {
+        this.requestMissingTables(observation.peer);
+        this.reportedArrivals.clear();
+        options.onPeerConnected(observation.peer.hostId);
+      }
       if (observation.kind === 'disconnected') {
         options.load.removeHost(observation.peer.hostId);
+        this.knownStandbyHosts.delete(observation.peer.hostId);
       }
     });
   }
@@ -74,11 +124,11 @@
     while (!this.abortController.signal.aborted) {
       this.report();
       this.reportArrivals();
-      await sleep(
-        clock,
-        REPORT_INTERVAL_MILLISECONDS,
-        this.abortController.signal,
-      );
+      this.sendDigest();
+      const interval = this.options.topology.isActive
+        ? REPORT_INTERVAL_MILLISECONDS
+        : IDLE_REPORT_INTERVAL_MILLISECONDS;
+      await sleep(clock, interval, this.abortController.signal);
     }
   }
 
@@ -89,37 +139,32 @@
 
   /** Sends a load report if it has changed or the idle interval has passed. */
   report(): void {
-    const {peers, clock, load, registry} = this.options;
+    const {clock, load, registry, topology} = this.options;
     const peerInFlight = load.peerInFlight();
     for (const endpoint of registry.all()) {
       endpoint.peerInFlight = peerInFlight.get(endpoint.record.id) ?? 0;
     }
-    const report = this.ownReport();
+    const isStandby = !topology.isActive;
+    const report = isStandby
+      ? {...this.ownReport(), isStandby}
+      : load.combinedReport();
     const content = JSON.stringify({
       ...report,
       spent: report.spent.map(({team, tokens}) => [team, tokens]),
       waiting: report.waiting.map(({target, requests}) => [target, requests]),
     });
     const now = clock.monotonicMilliseconds();
-    const isDue = now - this.reportedAt >= IDLE_REPORT_INTERVAL_MILLISECONDS;
+    const interval = isStandby
+      ? STANDBY_INTERVAL_MILLISECONDS
+      : IDLE_REPORT_INTERVAL_MILLISECONDS;
+    const isDue = now - this.reportedAt >= interval;
     if (content === this.lastReport && !isDue) return;
     this.lastReport = content;
     this.reportedAt = now;
-    peers.broadcast({kind: 'load_report', ...report});
-  }
-
-  private reportArrivals(): void {
-    const {clock, peers, router} = this.options;
-    const now = clock.monotonicMilliseconds();
-    if (now - this.arrivalsReportedAt < ARRIVAL_REPORT_INTERVAL_MILLISECONDS)
-      return;
-    this.arrivalsReportedAt = now;
-    const arrivals = router.arrivalCounts();
-    if (arrivals.length > 0)
-      peers.broadcast({kind: 'arrival_report', arrivals});
+    this.sendToPeers({kind: 'load_report', ...report});
   }
 
-  /** Returns the current load report of this host. */
+  /** Returns the current load report of this host alone. */
   ownReport(): LoadReport {
     const {registry, router, rateLimiter} = this.options;
     const inFlight = [...registry.all()].flatMap(endpoint =>
@@ -133,37 +178,103 @@
       inFlight,
       waiting: router.waiting(),
       spent: [...rateLimiter.spending()],
+      isStandby: false,
     };
   }
 
-  /** Tells all peers the version of this host's configuration. */
-  offerConfiguration(): void {
-    const {peers, configuration} = this.options;
-    if (configuration.version === 0) return;
-    peers.broadcast({
-      kind: 'configuration_offer',
-      version: configuration.version,
-      document: '',
+  /** Sends a message to all hosts; those without a connection get it from others. */
+  announce(message: DistributiveOmit<Announcement, 'hops'>): void {
+    this.options.peers.broadcast({...message, hops: 0});
+  }
+
+  /** Sends the changes of a table that this host has read. */
+  publishTable(update: TableUpdate): void {
+    this.announce(encodeTableUpdate(update));
+  }
+
+  /** Arrivals since the last report; all of them after a peer has connected. */
+  private reportArrivals(): void {
+    const {clock, load, router, topology} = this.options;
+    const now = clock.monotonicMilliseconds();
+    if (now - this.arrivalsReportedAt < ARRIVAL_REPORT_INTERVAL_MILLISECONDS)
+      return;
+    this.arrivalsReportedAt = now;
+    const counts = topology.isActive
+      ? load.combinedArrivals()
+      : router.arrivalCounts();
+    const arrivals = counts.filter(
+      count => this.reportedArrivals.get(keyOf(count)) !== count.requests,
+    );
+    if (arrivals.length === 0) return;
+    for (const count of arrivals) {
+      this.reportedArrivals.set(keyOf(count), count.requests);
+    }
+    this.sendToPeers({kind: 'arrival_report', arrivals});
+  }
+
+  private sendDigest(): void {
+    const {clock, load, peers, rateLimiter, topology} = this.options;
+    const now = clock.monotonicMilliseconds();
+    const isDue = now - this.digestSentAt >= STANDBY_INTERVAL_MILLISECONDS;
+    if (!topology.isActive || !isDue) return;
+    this.digestSentAt = now;
+    const standbyHosts = load.standbyHosts();
+    if (standbyHosts.length === 0) return;
+    peers.sendToAll(standbyHosts, {
+      kind: 'fleet_digest',
+      inFlight: load.digestCounts(),
+      spent: [...rateLimiter.fleetSpending()],
+      downHosts: [...topology.downHosts],
+    });
+  }
+
+  /** Sends to the upstream host, or from an active host to the other active ones. */
+  private sendToPeers(message: PeerMessage): void {
+    const {load, peers, topology} = this.options;
+    const {upstream} = topology;
+    if (upstream !== undefined) {
+      peers.send(upstream, message);
+      return;
+    }
+    const standbyHosts = new Set(load.standbyHosts());
+    const others = peers
+      .connectedPeers()
+      .map(({hostId}) => hostId)
+      .filter(hostId => !standbyHosts.has(hostId));
+    peers.sendToAll(others, message);
+  }
+
+  private passOn(from: PeerIdentity, message: Announcement): void {
+    const {load, peers, topology} = this.options;
+    const forwarding = planForwarding({
+      isActive: topology.isActive,
+      hops: message.hops,
+      from: from.hostId,
+      standbyHosts: load.standbyHosts(),
+      peers: peers.connectedPeers().map(({hostId}) => hostId),
     });
+    if (forwarding === undefined) return;
+    peers.sendToAll(forwarding.to, {...message, hops: forwarding.hops});
   }
 
   private receive(from: PeerIdentity, message: PeerMessage): void {
     const {load, rateLimiter, replicas, crashTracker} = this.options;
     switch (message.kind) {
       case 'load_report':
-        load.receive(from.hostId, message);
-        rateLimiter.receive(
-          `${from.hostId}/${from.incarnation}`,
-          message.spent,
-        );
-        if (message.waiting.length > 0) this.options.onDemandChanged();
+        this.receiveLoadReport(from, message);
         return;
       case 'arrival_report':
         load.receiveArrivals(from.hostId, message.arrivals);
         return;
+      case 'fleet_digest':
+        load.receiveDigest(message.inFlight);
+        rateLimiter.receiveDigest(processOf(from), message.spent);
+        this.options.topology.adoptDownHosts(message.downHosts);
+        return;
       case 'replica_state':
         replicas.receive(message);
         this.options.onManagerAnnounced(message.service, message.renewal);
+        this.passOn(from, message);
         return;
       case 'lease_resigned':
         this.options.onManagerResigned(
@@ -171,15 +282,17 @@
           message.epoch,
           message.sinceOrderMilliseconds,
         );
+        this.passOn(from, message);
         return;
       case 'request_broke_endpoint':
         crashTracker.receive(message.fingerprint, message.incarnation);
+        this.passOn(from, message);
         return;
-      case 'configuration_offer':
-        void this.handleConfigurationOffer(from, message);
+      case 'table_update':
+        this.receiveTableUpdate(from, message);
         return;
-      case 'configuration_request':
-        this.sendConfiguration(from, message.version);
+      case 'table_request':
+        this.sendTable(from, message.table);
         return;
       case 'heartbeat':
       case 'heartbeat_reply':
@@ -201,34 +314,78 @@
     }
   }
 
-  private async handleConfigurationOffer(
+  private receiveTableUpdate(
     from: PeerIdentity,
-    offer: {version: number; document: string},
-  ): Promise<void> {
-    const {configuration, clock, peers} = this.options;
-    if (offer.document !== '') {
-      configuration.applyIfNewer(
-        Buffer.from(offer.document),
-        `host ${from.hostId}`,
-      );
+    message: PeerMessageOf<'table_update'>,
+  ): void {
+    const {onTableUpdate, logger} = this.options;
+    const {table} = message;
+    const update = decodeTableUpdate(message);
+    if (!update.ok) {
+      const {reason} = update.error;
+      logger.event('peerMessageInvalid', {peer: from.hostId, reason});
       return;
     }
-    if (offer.version <= configuration.version) return;
-    await sleep(clock, CONFIGURATION_REQUEST_DELAY_MILLISECONDS);
-    if (offer.version <= configuration.version) return;
-    peers.send(from.hostId, {
-      kind: 'configuration_request',
-      version: configuration.version,
-    });
+    const isMissingChanges = onTableUpdate(update.value);
+    // A complete table is only for the host that has asked for it.
+    if (!message.isComplete) this.passOn(from, message);
+    if (isMissingChanges) this.requestTable(from, table);
+  }
+
+  /** Requests the tables that this host could not read, for example after a restart. */
+  private requestMissingTables(from: PeerIdentity): void {
+    for (const table of this.options.missingTables()) {
+      this.requestTable(from, table);
+    }
   }
 
-  private sendConfiguration(to: PeerIdentity, knownVersion: number): void {
-    const {configuration, peers} = this.options;
-    if (configuration.version <= knownVersion) return;
-    peers.send(to.hostId, {
-      kind: 'configuration_offer',
-      version: configuration.version,
-      document: configuration.document,
+  private requestTable(from: PeerIdentity, table: string): void {
+    const {clock, peers} = this.options;
+    const now = clock.monotonicMilliseconds();
+    const requestedAt = this.tableRequestedAt.get(table) ?? -Infinity;
+    if (now - requestedAt < TABLE_REQUEST_INTERVAL_MILLISECONDS) return;
+    this.tableRequestedAt.set(table, now);
+    peers.send(from.hostId, {kind: 'table_request', table});
+  }
+
+  private sendTable(to: PeerIdentity, table: string): void {
+    const content = this.options.tableContent(table);
+    if (content === undefined) return;
+    this.options.peers.send(to.hostId, {
+      ...encodeTableUpdate(content),
+      hops: 0,
     });
   }
+
+  private receiveLoadReport(
+    from: PeerIdentity,
+    report: PeerMessageOf<'load_report'>,
+  ): void {
+    const {load, rateLimiter, replicas, peers} = this.options;
+    load.receive(from.hostId, report);
+    if (report.waiting.length > 0) this.options.onDemandChanged();
+    if (!report.isStandby) {
+      this.knownStandbyHosts.delete(from.hostId);
+      rateLimiter.receive(processOf(from), report.spent);
+      return;
+    }
+    rateLimiter.receiveFromStandby(processOf(from), report.spent);
+    if (this.knownStandbyHosts.has(from.hostId)) return;
+    this.knownStandbyHosts.add(from.hostId);
+    for (const announcement of replicas.currentAnnouncements()) {
+      peers.send(from.hostId, {
+        kind: 'replica_state',
+        hops: 2,
+        ...announcement,
+      });
+    }
+  }
+}
+
+function processOf({hostId, incarnation}: PeerIdentity): string {
+  return `${hostId}/${incarnation}`;
+}
+
+function keyOf({service, model}: ArrivalCount): string {
+  return `${service} ${model}`;
 }
--- a/src/entry/pool_supervisor.ts
+++ b/src/entry/pool_supervisor.ts
@@ -24,6 +24,8 @@
   hostId: string;
   incarnation: string;
   orderTurnMilliseconds: number;
+  /** Returns the rank of this host among the active ones; undefined on a standby host. */
+  rank: () => number | undefined;
   announce: (announcement: ReplicaAnnouncement) => void;
   /** Tells all hosts that this one has stopped giving orders to a pool. */
   broadcastResignation: (
@@ -39,6 +41,18 @@
 /** Time without a message after which the manager of a pool is presumed stopped. */
 const MANAGER_TIMEOUT_MILLISECONDS = 1200;
 
+/**
+ * Additional time for each rank, so that few hosts read and write the lease at
+ * once. Twice the time that a host of the next better rank takes to acquire it.
+ */
+const MANAGER_TIMEOUT_PER_RANK_MILLISECONDS = 600;
+
+/**
+ * Bound of that additional time: hosts of better rank may have lost the store
+ * while they still exchange messages with this one.
+ */
+const MAXIMUM_RANK_DELAY_MILLISECONDS = 3000;
+
 interface ManagedPool {
   readonly lease: PoolLease;
   readonly manager: PoolManager;
@@ -48,6 +62,7 @@
 export class PoolSupervisor {
   private readonly pools = new Map<string, ManagedPool>();
   private readonly lastHeardAt = new Map<string, number>();
+  private rankedSince: number | undefined;
   private isStopping = false;
 
   constructor(private readonly options: PoolSupervisorOptions) {}
@@ -98,17 +113,45 @@
     await Promise.all(pools.map(({lease}) => lease.release()));
   }
 
+  /**
+   * Whether this host may compete for the lease of a pool: it is active, no
+   * manager has been heard from, and hosts of better rank had time to acquire it.
+   */
+  private mayCompete(name: string): boolean {
+    const now = this.options.clock.monotonicMilliseconds();
+    const rank = this.options.rank();
+    if (rank === undefined) {
+      this.rankedSince = undefined;
+      return false;
+    }
+    this.rankedSince ??= now;
+    const rankDelay = Math.min(
+      rank * MANAGER_TIMEOUT_PER_RANK_MILLISECONDS,
+      MAXIMUM_RANK_DELAY_MILLISECONDS,
+    );
+    const heardAt = this.lastHeardAt.get(name);
+    const since =
+      heardAt === undefined
+        ? this.rankedSince
+        : heardAt + MANAGER_TIMEOUT_MILLISECONDS;
+    return now - since >= rankDelay;
+  }
+
+  /** Sends the complete state of the pools managed here to a new peer. */
+  announceTo(send: (announcement: ReplicaAnnouncement) => void): void {
+    for (const {manager} of this.pools.values()) {
+      const announcement = manager.currentAnnouncement();
+      if (announcement !== undefined) send(announcement);
+    }
+  }
+
   private create(name: string): ManagedPool {
     const {options} = this;
-    const {clock} = options;
     const lease = new PoolLease({
       ...options,
       scope: `pool/${name}`,
       handoverDelayMilliseconds: options.orderTurnMilliseconds,
-      hasHeardFromHolder: () =>
-        clock.monotonicMilliseconds() -
-          (this.lastHeardAt.get(name) ?? Number.NEGATIVE_INFINITY) <
-        MANAGER_TIMEOUT_MILLISECONDS,
+      hasHeardFromHolder: () => !this.mayCompete(name),
       random: Math.random,
       onResigned: (epoch, sinceOrder) =>
         options.broadcastResignation(
--- a/src/entry/settings_template_test.ts
+++ b/src/entry/settings_template_test.ts
@@ -15,7 +15,10 @@
   internal_port_range: [7600, 7615],
   initial_bootstrap: true,
   platform: {address: '10.200.1.7:8225'},
+  limits: {cpu_share: 0.675, cpu_cores: 1, link_mbps: 140},
   bounds: {
+    drain_ms: 2000,
+    config_apply_ms: 2000,
     grace_period_s: 8,
     lease_ms: 3000,
     retry_budget_ratio: 0.2,
--- a/src/entry/store_followers.ts
+++ b/src/entry/store_followers.ts
@@ -6,8 +6,8 @@
   type HostRow,
 } from '../fleet/mod.ts';
 import type {EventLogger} from '../observability/mod.ts';
-import {type Row, TableFollower} from '../stores/mod.ts';
-import type {Clock} from '../time/mod.ts';
+import {type Row, TableFollower, type TableUpdate} from '../stores/mod.ts';
+import {type Clock, sleep} from '../time/mod.ts';
 import type {ConfigurationSource} from './configuration_source.ts';
 import {HOST_TABLE} from './host_registration.ts';
 import type {PlatformAdapter} from './platform_adapter.ts';
@@ -20,47 +20,87 @@
   configuration: ConfigurationSource;
   endpoints: EndpointRegistry;
   hosts: HostRegistry;
+  /** Time within which a leaving endpoint must get no new requests. */
+  drainMilliseconds: number;
+  /** Time within which a new configuration must be applied. */
+  configurationMilliseconds: number;
+  /** Whether the deployment starts for the first time. */
+  isFirstStart: boolean;
   /** Whether this host manages a pool and needs endpoint changes immediately. */
   managesPool: () => boolean;
+  /** Returns the rank of this host among the active ones; undefined on a standby host. */
+  rank: () => number | undefined;
+  random: () => number;
+  /** Sends changes that this host has read to its peers. */
+  publish: (update: TableUpdate) => void;
   onEndpointsChanged: () => void;
 }
 
-/**
- * Long-poll time of a configuration request. A dead connection is detected after
- * this time plus the time-out of the call; together they stay within the 2 s in
- * which a new configuration must be applied.
- */
-const CONFIGURATION_WAIT_MILLISECONDS = 1100;
+/** Share of a bound by which the maximum age grows with each rank. */
+const RANK_SHARE = 0.03;
+
+/** Rank that standby hosts count as; larger than that of most active hosts. */
+const STANDBY_RANK = 10;
+
+/** Long-poll time of a configuration request, as a share of its bound. */
+const CONFIGURATION_WAIT_SHARE = 0.3;
 
 /** Long-poll time of an endpoint request; each heartbeat of an endpoint is a change. */
-const ENDPOINT_WAIT_MILLISECONDS = 1000;
+const ENDPOINT_WAIT_MILLISECONDS = 500;
 
-/**
- * Pause between endpoint requests. It is short enough for a draining endpoint to
- * get no more requests after 2 s.
- */
-const ENDPOINT_PAUSE_MILLISECONDS = 700;
+/** Pause between endpoint requests, as a share of the time in which to drain. */
+const ENDPOINT_PAUSE_SHARE = 0.1;
+
+/** Pause between endpoint requests on a host that manages a pool, by endpoint. */
+const MANAGER_PAUSE_PER_ENDPOINT_MILLISECONDS = 1;
 
-/** Pause between endpoint requests on a host that manages a pool. */
-const MANAGER_ENDPOINT_PAUSE_MILLISECONDS = 20;
+/** Bounds of that pause: what a load from memory may be noticed late by. */
+const MANAGER_PAUSE_RANGE_MILLISECONDS = {minimum: 20, maximum: 200} as const;
 
 /** Long-poll time of a host request; hosts change only when one starts or leaves. */
-const HOST_WAIT_MILLISECONDS = 6000;
+const HOST_WAIT_MILLISECONDS = 5000;
+
+/** Pause between host requests; many hosts start at the same time. */
+const HOST_PAUSE_MILLISECONDS = 300;
+
+/** Age of the list of hosts at which a host reads it itself. */
+const HOST_MAXIMUM_AGE_MILLISECONDS = 12_000;
 
-/** Follows the tables of the configuration, the endpoints and the hosts. */
+/**
+ * Time for all hosts of a new deployment to register before the list is read.
+ * They start within 0.3 s of each other.
+ */
+const FIRST_START_MILLISECONDS = 900;
+
+/** Period over which the first reads of the hosts of a new deployment are spread. */
+const FIRST_START_SPREAD_MILLISECONDS = 300;
+
+/**
+ * Follows the tables of the configuration, the endpoints and the hosts.
+ *
+ * The best-ranked active host reads; the others are supplied by its updates and
+ * read themselves, one rank after the other, when these stop. All bounds are
+ * shares of the time in which a change must take effect.
+ */
 export class StoreFollowers {
   private readonly configuration: TableFollower;
   private readonly endpoints: TableFollower;
   private readonly hosts: TableFollower;
+  private readonly stopController = new AbortController();
+  /** Last published content of each endpoint. */
+  private readonly publishedEndpoints = new Map<string, string>();
 
   constructor(private readonly options: StoreFollowersOptions) {
-    const {platform, clock, logger} = options;
-    const common = {store: platform.store, clock, logger};
+    const {platform, clock, logger, publish} = options;
+    const {drainMilliseconds, configurationMilliseconds} = options;
+    const common = {store: platform.store, clock, logger, publish};
     this.configuration = new TableFollower({
       ...common,
       table: platform.configurationTable,
-      waitMilliseconds: CONFIGURATION_WAIT_MILLISECONDS,
+      waitMilliseconds: configurationMilliseconds * CONFIGURATION_WAIT_SHARE,
       pauseMilliseconds: () => 0,
+      maximumAgeMilliseconds: () =>
+        this.maximumAge(configurationMilliseconds, 0.5),
       onSnapshot: rows => this.applyConfiguration(rows),
       onChanges: rows => this.applyConfiguration(rows),
     });
@@ -68,10 +108,11 @@
       ...common,
       table: platform.endpointTable,
       waitMilliseconds: ENDPOINT_WAIT_MILLISECONDS,
-      pauseMilliseconds: () =>
-        options.managesPool()
-          ? MANAGER_ENDPOINT_PAUSE_MILLISECONDS
-          : ENDPOINT_PAUSE_MILLISECONDS,
+      pauseMilliseconds: () => this.endpointPause(),
+      maximumAgeMilliseconds: () =>
+        options.managesPool() ? 0 : this.maximumAge(drainMilliseconds, 0.3),
+      keepaliveMilliseconds: drainMilliseconds * ENDPOINT_PAUSE_SHARE,
+      isSignificant: row => this.isSignificantEndpoint(row),
       onSnapshot: rows => {
         options.endpoints.applySnapshot(this.decodeEndpoints(rows));
         options.onEndpointsChanged();
@@ -85,7 +126,9 @@
       ...common,
       table: HOST_TABLE,
       waitMilliseconds: HOST_WAIT_MILLISECONDS,
-      pauseMilliseconds: () => 0,
+      pauseMilliseconds: () => HOST_PAUSE_MILLISECONDS,
+      maximumAgeMilliseconds: () =>
+        this.maximumAge(HOST_MAXIMUM_AGE_MILLISECONDS, 1),
       onSnapshot: rows =>
         options.hosts.applySnapshot(
           [...this.decodeHosts(rows).values()].filter(row => row !== undefined),
@@ -103,16 +146,109 @@
   start(): void {
     void this.configuration.run();
     void this.endpoints.run();
-    void this.hosts.run();
+    void this.followHosts();
+  }
+
+  /**
+   * Applies changes that a peer has read.
+   *
+   * @returns Whether changes before them are missing here.
+   */
+  receive(update: TableUpdate): boolean {
+    return this.follower(update.table)?.receive(update) === false;
+  }
+
+  /** Tables that have not been read yet. */
+  missingTables(): readonly string[] {
+    const {platform} = this.options;
+    const tables = [
+      platform.configurationTable,
+      platform.endpointTable,
+      HOST_TABLE,
+    ];
+    return tables.filter(table => this.content(table) === undefined);
+  }
+
+  /** The whole content of a table, for a peer; undefined if it is unknown. */
+  content(table: string): TableUpdate | undefined {
+    return this.follower(table)?.content();
   }
 
   /** Stops all followers. */
   stop(): void {
+    this.stopController.abort();
     this.configuration.stop();
     this.endpoints.stop();
     this.hosts.stop();
   }
 
+  private follower(table: string): TableFollower | undefined {
+    const {platform} = this.options;
+    const followers = new Map([
+      [platform.configurationTable, this.configuration],
+      [platform.endpointTable, this.endpoints],
+      [HOST_TABLE, this.hosts],
+    ]);
+    return followers.get(table);
+  }
+
+  private async followHosts(): Promise<void> {
+    const {clock, isFirstStart, random} = this.options;
+    if (isFirstStart) {
+      const delay =
+        FIRST_START_MILLISECONDS + random() * FIRST_START_SPREAD_MILLISECONDS;
+      await sleep(clock, delay, this.stopController.signal);
+    }
+    await this.hosts.run();
+  }
+
+  /**
+   * Age at which this host reads a table itself: 0 for the best-ranked host, then
+   * increasing with the rank, and largest for standby hosts.
+   *
+   * @param bound Time in which a change must be known.
+   * @param share Share of the bound for the second-ranked host.
+   */
+  private maximumAge(bound: number, share: number): number {
+    const rank = this.options.rank();
+    if (rank === 0) return 0;
+    const rankShare = Math.min((rank ?? STANDBY_RANK) * RANK_SHARE, 0.3);
+    return bound * (share + rankShare);
+  }
+
+  private endpointPause(): number {
+    const {drainMilliseconds, managesPool, endpoints} = this.options;
+    if (!managesPool()) return drainMilliseconds * ENDPOINT_PAUSE_SHARE;
+    const {minimum, maximum} = MANAGER_PAUSE_RANGE_MILLISECONDS;
+    const pause = endpoints.size * MANAGER_PAUSE_PER_ENDPOINT_MILLISECONDS;
+    return Math.min(maximum, Math.max(minimum, pause));
+  }
+
+  /**
+   * Whether a row of an endpoint changes where requests may go. Heartbeats do not,
+   * and models are announced by the manager of their pool.
+   */
+  private isSignificantEndpoint(row: Row): boolean {
+    const {platform} = this.options;
+    const record =
+      row.value === undefined
+        ? undefined
+        : platform.decodeEndpoint(row.key, row.version, row.value);
+    const content = JSON.stringify(
+      record && [
+        record.service,
+        record.address,
+        record.state,
+        record.slots,
+        record.startedAt,
+        record.leavesInMilliseconds === undefined,
+      ],
+    );
+    const isChanged = this.publishedEndpoints.get(row.key) !== content;
+    this.publishedEndpoints.set(row.key, content ?? '');
+    return isChanged;
+  }
+
   private applyConfiguration(rows: readonly Row[]): void {
     const {platform, configuration} = this.options;
     for (const {key, value} of rows) {
--- a/src/fleet/endpoint_registry.ts
+++ b/src/fleet/endpoint_registry.ts
@@ -39,6 +39,25 @@
     );
   }
 
+  /** Number of endpoints, including leaving ones. */
+  get size(): number {
+    return this.endpoints.size;
+  }
+
+  /** Places of all endpoints. */
+  get slots(): number {
+    let slots = 0;
+    for (const {record} of this.endpoints.values()) slots += record.slots;
+    return slots;
+  }
+
+  /** Applies the current limits of connections to all endpoints. */
+  updateConnectionLimits(): void {
+    for (const {agent, record} of this.endpoints.values()) {
+      agent.maxSockets = this.options.maximumConnections(record.service);
+    }
+  }
+
   /** All endpoints, including leaving ones. */
   all(): Iterable<Endpoint> {
     return this.endpoints.values();
--- a/src/fleet/host_registry.ts
+++ b/src/fleet/host_registry.ts
@@ -2,15 +2,15 @@
 
 /** Options of {@link HostRegistry}. */
 export interface HostRegistryOptions {
-  /** Returns the row of this host; called for each query. */
+  hostId: string;
+  /** Returns the row of this host, whose state changes. */
   self: () => HostRow;
-  /** Returns the ids of the hosts that this one is connected to. */
-  connected: () => ReadonlySet<string>;
 }
 
-/** Hosts known from their rows in the store, and whether they are connected. */
+/** Hosts known from their rows in the store. */
 export class HostRegistry {
   private rows = new Map<string, HostRow>();
+  private changes = 0;
   private readonly listeners = new Set<() => void>();
 
   constructor(private readonly options: HostRegistryOptions) {}
@@ -35,32 +35,46 @@
     this.listeners.add(listener);
   }
 
-  /** Hosts in the store except this one. */
-  others(): readonly HostRow[] {
-    const {hostId} = this.options.self();
-    return [...this.rows.values()].filter(row => row.hostId !== hostId);
+  /** Number that increases with each change of the rows. */
+  get revision(): number {
+    return this.changes;
   }
 
-  /** Number of hosts in the store, including this one. */
+  /** Whether the rows have been read. */
+  get isKnown(): boolean {
+    return this.changes > 0;
+  }
+
+  /** Row of this host, with its current state. */
+  get self(): HostRow {
+    return this.options.self();
+  }
+
+  /** Id of this host. */
+  get selfId(): string {
+    return this.options.hostId;
+  }
+
+  /** Number of hosts, including this one. */
   get size(): number {
-    return this.others().length + 1;
+    return this.rows.size + (this.rows.has(this.selfId) ? 0 : 1);
+  }
+
+  /** Row of a host; undefined if it is unknown. */
+  get(hostId: string): HostRow | undefined {
+    return hostId === this.selfId ? this.self : this.rows.get(hostId);
   }
 
-  /**
-   * Hosts that callers should use. A host that is not connected to this one has
-   * probably stopped and is omitted. If no other ready host is connected,
-   * this host may itself be cut off, so all ready hosts are returned.
-   */
-  callerHosts(): readonly HostRow[] {
-    const self = this.options.self();
-    const connected = this.options.connected();
-    const others = this.others().filter(row => row.state === 'ready');
-    const reachable = others.filter(row => connected.has(row.hostId));
-    const known = reachable.length > 0 ? reachable : others;
-    return self.state === 'ready' ? [self, ...known] : known;
+  /** All hosts, including this one. */
+  all(): readonly HostRow[] {
+    const others = [...this.rows.values()].filter(
+      row => row.hostId !== this.selfId,
+    );
+    return [this.self, ...others];
   }
 
   private notify(): void {
+    this.changes++;
     for (const listener of this.listeners) listener();
   }
 }
--- a/src/fleet/host_row.ts
+++ b/src/fleet/host_row.ts
@@ -11,6 +11,10 @@
   /** WebSocket address for peers. */
   peerAddress: z.string(),
   state: z.enum(['ready', 'leaving']),
+  /** Processor capacity, in cores of the usual speed. */
+  cores: z.number().positive().default(1),
+  /** Bandwidth of the host's network link, in Mbit/s. */
+  linkMegabits: z.number().positive().default(1000),
 });
 
 /** Row in which a host describes itself in the store. */
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -25,6 +25,17 @@
   type HostRow,
   hostRowSchema,
 } from './host_row.ts';
+export {
+  chooseActiveHosts,
+  MAXIMUM_ACTIVE_HOSTS,
+  MINIMUM_ACTIVE_HOSTS,
+} from './choose_active_hosts.ts';
+export {
+  FleetTopology,
+  type FleetTopologyOptions,
+  REPLACEMENT_MILLISECONDS,
+} from './fleet_topology.ts';
+export {FleetShares, type FleetSharesOptions} from './fleet_shares.ts';
 export {HostRegistry, type HostRegistryOptions} from './host_registry.ts';
 export {
   type ArrivalCount,
@@ -34,3 +45,8 @@
   type WaitingTarget,
 } from './fleet_load.ts';
 export {chooseEndpoint, type ChooseEndpointOptions} from './choose_endpoint.ts';
+export {
+  type Forwarding,
+  type ForwardingInput,
+  planForwarding,
+} from './plan_forwarding.ts';
--- a/src/limits/fleet_rate_limiter.ts
+++ b/src/limits/fleet_rate_limiter.ts
@@ -13,13 +13,11 @@
 /** Options of {@link FleetRateLimiter}. */
 export interface FleetRateLimiterOptions {
   clock: Clock;
-  /** Returns the number of hosts that may spend tokens, including this one. */
-  hosts: () => number;
   /**
-   * Returns the number of hosts whose reports arrive at present, including this
-   * one.
+   * Returns the share of the rate that this host may use together with the hosts
+   * whose reports it receives, 0 to 1.
    */
-  connectedHosts: () => number;
+  rateShare: () => number;
   /**
    * Whether the deployment starts for the first time, so that buckets start
    * full.
@@ -34,6 +32,9 @@
   isSynchronized: boolean;
 }
 
+/** Tokens spent by host process and team. */
+type SpentByHost = Map<string, Map<string, number>>;
+
 /** Longest retry time that is returned to a refused caller. */
 const MAXIMUM_WAIT_MILLISECONDS = 10_000;
 
@@ -49,7 +50,9 @@
 export class FleetRateLimiter {
   private readonly buckets = new Map<string, TeamBucket>();
   private readonly spent = new Map<string, number>();
-  private readonly peerSpent = new Map<string, Map<string, number>>();
+  private readonly peerSpent: SpentByHost = new Map();
+  private readonly standbySpent: SpentByHost = new Map();
+  private readonly digestSpent: SpentByHost = new Map();
   private readonly terms = new Map<string, TeamConfiguration>();
 
   constructor(private readonly options: FleetRateLimiterOptions) {}
@@ -66,7 +69,7 @@
     // A full bucket admits a request that costs more than the burst.
     const needed = Math.min(cost, team.burst);
     if (bucket.level < needed) {
-      const rate = team.ratePerSecond * this.rateShare();
+      const rate = team.ratePerSecond * this.options.rateShare();
       const wait = ((needed - bucket.level) / rate) * 1000;
       return Math.min(MAXIMUM_WAIT_MILLISECONDS, Math.max(1, wait));
     }
@@ -84,14 +87,76 @@
     }));
   }
 
+  /** Returns the spending of all hosts, for hosts that get no other reports. */
+  fleetSpending(): readonly TeamSpending[] {
+    return [...this.terms.keys()].map(team => {
+      let tokens = this.spent.get(team) ?? 0;
+      for (const spent of this.peerSpent.values())
+        tokens += spent.get(team) ?? 0;
+      return {team, tokens, level: this.buckets.get(team)?.level ?? 0};
+    });
+  }
+
+  /**
+   * Debits what all hosts have spent since the previous digest, except for this
+   * host's own spending.
+   *
+   * @param sender Process that sent the digest.
+   */
+  receiveDigest(sender: string, spending: readonly TeamSpending[]): void {
+    this.debit(
+      this.digestSpent,
+      sender,
+      spending.map(entry => ({
+        ...entry,
+        tokens: entry.tokens - (this.spent.get(entry.team) ?? 0),
+      })),
+    );
+  }
+
+  /**
+   * Debits what a standby host has spent since its previous report, and reports
+   * it to the other hosts as spent here.
+   */
+  receiveFromStandby(
+    hostIncarnation: string,
+    spending: readonly TeamSpending[],
+  ): void {
+    const debited = this.debit(this.standbySpent, hostIncarnation, spending);
+    for (const [team, tokens] of debited) {
+      this.spent.set(team, (this.spent.get(team) ?? 0) + tokens);
+    }
+  }
+
   /** Debits the tokens that a peer has spent since its previous report. */
   receive(hostIncarnation: string, spending: readonly TeamSpending[]): void {
-    const known = this.peerSpent.get(hostIncarnation);
+    this.debit(this.peerSpent, hostIncarnation, spending);
+  }
+
+  /** Applies the teams of a configuration and keeps their existing buckets. */
+  configure(teams: readonly TeamConfiguration[]): void {
+    for (const team of teams) {
+      const bucket = this.refill(team);
+      bucket.level = Math.min(bucket.level, team.burst);
+      this.terms.set(team.name, team);
+    }
+  }
+
+  /** @returns The tokens debited for each team. */
+  private debit(
+    spent: SpentByHost,
+    hostIncarnation: string,
+    spending: readonly TeamSpending[],
+  ): ReadonlyMap<string, number> {
+    const known = spent.get(hostIncarnation);
     const previous = known ?? new Map<string, number>();
-    this.peerSpent.set(hostIncarnation, previous);
+    spent.set(hostIncarnation, previous);
+    const debited = new Map<string, number>();
     for (const {team, tokens, level} of spending) {
-      const delta = tokens - (previous.get(team) ?? 0);
-      previous.set(team, tokens);
+      const delta = Math.max(0, tokens - (previous.get(team) ?? 0));
+      // A count falls for a moment when a digest does not yet contain what this
+      // host has spent; it is not debited again when it rises.
+      previous.set(team, Math.max(previous.get(team) ?? 0, tokens));
       const terms = this.terms.get(team);
       if (terms === undefined) continue;
       const bucket = this.refill(terms);
@@ -99,18 +164,11 @@
         bucket.level = Math.max(bucket.level, level);
         bucket.isSynchronized = true;
       } else if (known !== undefined) {
-        bucket.level -= Math.max(0, delta);
+        bucket.level -= delta;
+        debited.set(team, delta);
       }
     }
-  }
-
-  /** Applies the teams of a configuration and keeps their existing buckets. */
-  configure(teams: readonly TeamConfiguration[]): void {
-    for (const team of teams) {
-      const bucket = this.refill(team);
-      bucket.level = Math.min(bucket.level, team.burst);
-      this.terms.set(team.name, team);
-    }
+    return debited;
   }
 
   private refill(team: TeamConfiguration): TeamBucket {
@@ -126,16 +184,12 @@
       this.buckets.set(team.name, bucket);
     }
     const earned =
-      (team.ratePerSecond * this.rateShare() * (now - bucket.refilledAt)) /
+      (team.ratePerSecond *
+        this.options.rateShare() *
+        (now - bucket.refilledAt)) /
       1000;
     bucket.refilledAt = now;
     bucket.level = Math.min(team.burst, bucket.level + earned);
     return bucket;
   }
-
-  /** Fraction of the rate that the connected hosts may use together. */
-  private rateShare(): number {
-    const hosts = Math.max(1, this.options.hosts());
-    return Math.min(1, Math.max(1, this.options.connectedHosts()) / hosts);
-  }
 }
--- a/src/limits/fleet_rate_limiter_test.ts
+++ b/src/limits/fleet_rate_limiter_test.ts
@@ -43,8 +43,7 @@
     const create = (startsFull: boolean) =>
       new FleetRateLimiter({
         clock,
-        hosts: () => entry.hosts,
-        connectedHosts: () => (entry.connected ? entry.hosts : 1),
+        rateShare: () => (entry.connected ? 1 : 1 / entry.hosts),
         startsFull,
       });
     let limiters = Array.from({length: entry.hosts}, () => create(true));
@@ -74,12 +73,55 @@
     }
   });
 
+  // Requests may enter at standby hosts, whose spending only their active host
+  // hears of. Guards against spending that is forgotten or debited twice on the way.
+  test('active hosts and their standby hosts stay within the rate and use it', () => {
+    const clock = new ManualClock();
+    const create = () => {
+      const limiter = new FleetRateLimiter({
+        clock,
+        rateShare: () => 1,
+        startsFull: true,
+      });
+      limiter.configure([TEAM]);
+      return limiter;
+    };
+    const active = Array.from({length: 4}, create);
+    const standby = Array.from({length: 12}, create);
+    let spent = 0;
+    for (let step = 0; step < 600; step++) {
+      clock.advance(100);
+      for (const limiter of [...active, ...standby]) {
+        if (limiter.take(TEAM, 50) === 0) spent += 50;
+      }
+      if (step % 10 === 0) {
+        standby.forEach((limiter, index) =>
+          active[index % 4]?.receiveFromStandby(
+            `standby-${index}`,
+            limiter.spending(),
+          ),
+        );
+      }
+      exchange(active);
+      if (step % 10 === 5) {
+        standby.forEach((limiter, index) =>
+          limiter.receiveDigest(
+            `host-${index % 4}`,
+            active[index % 4]?.fleetSpending() ?? [],
+          ),
+        );
+      }
+    }
+    const allowed = 60 * TEAM.ratePerSecond + TEAM.burst;
+    expect(spent).toBeLessThanOrEqual(allowed * 1.1 + 16 * 50);
+    expect(spent).toBeGreaterThanOrEqual(allowed * 0.9);
+  });
+
   test('a full bucket admits a request that costs more than the burst', () => {
     const clock = new ManualClock();
     const limiter = new FleetRateLimiter({
       clock,
-      hosts: () => 8,
-      connectedHosts: () => 8,
+      rateShare: () => 1,
       startsFull: true,
     });
     expect(limiter.take(TEAM, 2500)).toBe(0);
--- a/src/peers/_peer_connection.ts
+++ b/src/peers/_peer_connection.ts
@@ -1,11 +1,7 @@
 import type {RawData, WebSocket} from 'ws';
 import type {EventLogger} from '../observability/mod.ts';
 import type {CancelTimer, Clock} from '../time/mod.ts';
-import {
-  decodePeerFrame,
-  encodePeerFrame,
-  type PeerFrame,
-} from './peer_codec.ts';
+import {decodePeerFrame, encodePeerFrame} from './peer_codec.ts';
 import {
   PEER_PROTOCOL_VERSION,
   type PeerGreeting,
@@ -51,19 +47,24 @@
     socket.on('message', data => this.receive(data));
     socket.on('close', () => this.handleClose());
     socket.on('error', () => socket.terminate());
-    this.write(options.greeting);
+    this.write(encodePeerFrame(options.greeting));
     this.checkIdleTimeout();
   }
 
   /** Queues a message; closes the connection if too many bytes are unsent. */
   send(message: PeerMessage): void {
+    this.sendEncoded(encodePeerFrame(message));
+  }
+
+  /** Like {@link send}, for a message that is encoded already. */
+  sendEncoded(frame: Uint8Array): void {
     if (this.closed) return;
     if (this.options.socket.bufferedAmount > this.options.maximumQueuedBytes) {
       this.options.logger.event('peerOverloaded', {peer: this.name});
       this.close();
       return;
     }
-    this.write(message);
+    this.write(frame);
   }
 
   /** Closes the connection immediately, without a closing handshake. */
@@ -76,8 +77,8 @@
     return this.peer?.hostId ?? this.options.remote;
   }
 
-  private write(frame: PeerFrame): void {
-    this.options.socket.send(encodePeerFrame(frame), {binary: true}, () => {
+  private write(frame: Uint8Array): void {
+    this.options.socket.send(frame, {binary: true}, () => {
       // A failed send also closes the socket, which is handled in handleClose.
     });
   }
--- a/src/peers/peer_message.ts
+++ b/src/peers/peer_message.ts
@@ -4,6 +4,8 @@
 const version = z.number().int().nonnegative();
 const tokens = z.number().nonnegative();
 const milliseconds = z.number();
+/** Number of hosts that have passed an announcement on. */
+const hops = z.number().int().nonnegative().default(0);
 const correlationId = z.string().min(1).max(64);
 
 /** Schema of {@link PeerMessage}. */
@@ -139,6 +141,47 @@
     ),
     /** Tokens spent by each team on this host since the host started. */
     spent: z.array(z.object({team: z.string(), tokens, level: z.number()})),
+    /**
+     * Whether the sender is a standby host, whose report the receiver adds to its
+     * own.
+     */
+    isStandby: z.boolean().default(false),
+  }),
+  /** Load of all hosts, sent by an active host to its standby hosts. */
+  z.object({
+    kind: z.literal('fleet_digest'),
+    /** Unfinished requests of all hosts by endpoint. */
+    inFlight: z.array(
+      z.object({endpoint: z.string(), requests: z.number().int().positive()}),
+    ),
+    /** Tokens spent by each team on all hosts, as known to the sender. */
+    spent: z.array(z.object({team: z.string(), tokens, level: z.number()})),
+    /** Active hosts that the sender has found to be down. */
+    downHosts: z.array(z.string()),
+  }),
+  /** Requests a table of which the sender misses changes. */
+  z.object({kind: z.literal('table_request'), table: z.string()}),
+  /** Changes of a table of the store, read by one host for its peers. */
+  z.object({
+    kind: z.literal('table_update'),
+    hops,
+    table: z.string(),
+    /** Version up to which the receiver must know the table. */
+    afterVersion: version,
+    /** Whether the rows are the whole table. */
+    isComplete: z.boolean(),
+    version,
+    rows: z.array(
+      z.object({
+        key: z.string(),
+        /** Null when the row was deleted. */
+        value: z.instanceof(Uint8Array).nullable(),
+        isCompressed: z.boolean(),
+        version,
+      }),
+    ),
+    ageMilliseconds: milliseconds,
+    regainedMilliseconds: milliseconds.nullable(),
   }),
   /** Number of requests for each model since the sending process started. */
   z.object({
@@ -154,6 +197,7 @@
   /** Replicas on some engines, sent by the host that manages the pool. */
   z.object({
     kind: z.literal('replica_state'),
+    hops,
     service: z.string(),
     epoch: z.number().int(),
     /** Latest renewal of the sender's lease. */
@@ -168,6 +212,13 @@
         targets: z.array(z.string()),
       }),
     ),
+    /**
+     * Models that no engine can load at present, and the time until one of them
+     * can be ready; absent when unchanged.
+     */
+    unavailable: z
+      .object({models: z.array(z.string()), readyInMilliseconds: milliseconds})
+      .optional(),
     /** Expected time until targets without a replica are ready. */
     expected: z.array(
       z.object({target: z.string(), readyInMilliseconds: milliseconds}),
@@ -176,6 +227,7 @@
   /** Reports that the sender gives no more orders to the engines of a service. */
   z.object({
     kind: z.literal('lease_resigned'),
+    hops,
     service: z.string(),
     epoch: z.number().int(),
     /** Time since its last order; negative while an order may still arrive. */
@@ -184,18 +236,10 @@
   /** Reports that an endpoint broke off while it ran a request. */
   z.object({
     kind: z.literal('request_broke_endpoint'),
+    hops,
     fingerprint: z.string(),
     incarnation: z.string(),
   }),
-  /** Latest configuration known to the sender, in the format of the store. */
-  z.object({
-    kind: z.literal('configuration_offer'),
-    version,
-    /** Empty when only the version is announced. */
-    document: z.string(),
-  }),
-  /** Requests the latest configuration. */
-  z.object({kind: z.literal('configuration_request'), version}),
   /** Reports that an endpoint crashed while it ran these requests. */
   z.object({
     kind: z.literal('suspect'),
--- a/src/peers/peer_network.ts
+++ b/src/peers/peer_network.ts
@@ -14,6 +14,7 @@
   type PeerGreeting,
   type PeerIdentity,
 } from './peer_identity.ts';
+import {encodePeerFrame} from './peer_codec.ts';
 import type {PeerMessage} from './peer_message.ts';
 
 /** Options of {@link PeerNetwork}. */
@@ -115,8 +116,17 @@
   }
 
   broadcast(message: PeerMessage): void {
-    for (const connections of this.connectionsByHost.values())
-      newestConnection(connections)?.send(message);
+    this.sendToAll(this.connectionsByHost.keys(), message);
+  }
+
+  /** Queues a message, encoded once, for those of the hosts that are connected. */
+  sendToAll(hostIds: Iterable<string>, message: PeerMessage): void {
+    const connections = [...hostIds].flatMap(
+      hostId => newestConnection(this.connectionsByHost.get(hostId)) ?? [],
+    );
+    if (connections.length === 0) return;
+    const frame = encodePeerFrame(message);
+    for (const connection of connections) connection.sendEncoded(frame);
   }
 
   onMessage(handler: PeerMessageHandler): () => void {
--- a/src/relay/fleet_retry_budget.ts
+++ b/src/relay/fleet_retry_budget.ts
@@ -9,8 +9,8 @@
   /** Additional retries allowed per window, over all hosts. */
   slack: number;
   windowMilliseconds: number;
-  /** Number of hosts that share the budget. */
-  hosts: () => number;
+  /** Returns this host's share of the additional retries. */
+  share: () => number;
 }
 
 /** Fraction of the budget that is used, because each host counts in its own window. */
@@ -38,10 +38,9 @@
   }
 
   tryConsume(service: string): boolean {
-    const {ratio, slack, hosts, clock} = this.options;
+    const {ratio, slack, share, clock} = this.options;
     const {requests, retries} = this.window(service);
-    const allowed =
-      SAFETY_FACTOR * (ratio * requests.length + slack / Math.max(1, hosts()));
+    const allowed = SAFETY_FACTOR * (ratio * requests.length + slack * share());
     if (retries.length + 1 > allowed) return false;
     retries.push(clock.monotonicMilliseconds());
     return true;
--- a/src/relay/fleet_retry_budget_test.ts
+++ b/src/relay/fleet_retry_budget_test.ts
@@ -31,7 +31,7 @@
           ratio: RATIO,
           slack: SLACK,
           windowMilliseconds: WINDOW_MILLISECONDS,
-          hosts: () => entry.hosts,
+          share: () => 1 / entry.hosts,
         }),
     );
     const repeated: number[] = [];
--- a/src/stores/mod.ts
+++ b/src/stores/mod.ts
@@ -56,4 +56,8 @@
   RowStore,
   RowStoreError,
 } from './row_store.ts';
-export {TableFollower, type TableFollowerOptions} from './table_follower.ts';
+export {
+  TableFollower,
+  type TableFollowerOptions,
+  type TableUpdate,
+} from './table_follower.ts';
--- a/src/stores/table_follower.ts
+++ b/src/stores/table_follower.ts
@@ -2,6 +2,21 @@
 import {type Clock, sleep} from '../time/mod.ts';
 import type {Row, RowStore} from './row_store.ts';
 
+/** Changes of a table that one host has read from the store, for its peers. */
+export interface TableUpdate {
+  readonly table: string;
+  /** Version up to which the receiver must know the table to apply the rows. */
+  readonly afterVersion: number;
+  /** Whether the rows are the whole table, whatever the receiver knows. */
+  readonly isComplete: boolean;
+  readonly version: number;
+  readonly rows: readonly Row[];
+  /** Time since the sender knew the table to be at `version`. */
+  readonly ageMilliseconds: number;
+  /** Time since the sender regained the store; undefined if it never lost it. */
+  readonly regainedMilliseconds: number | undefined;
+}
+
 /** Options of {@link TableFollower}. */
 export interface TableFollowerOptions {
   store: RowStore;
@@ -12,6 +27,21 @@
   waitMilliseconds: number;
   /** Delay after each call; limits the call rate on frequently changing tables. */
   pauseMilliseconds: () => number;
+  /**
+   * Age of this host's copy at which it reads the store itself; 0 makes it read
+   * all the time. Hosts with a larger value are supplied by the updates of those
+   * with a smaller one, and take over when these stop.
+   */
+  maximumAgeMilliseconds: () => number;
+  /**
+   * Interval between updates without significant rows, which show the peers that
+   * this host reads. @default 250
+   */
+  keepaliveMilliseconds?: number;
+  /** Whether peers without access to the store need to know of a changed row. */
+  isSignificant?: (row: Row) => boolean;
+  /** Sends an update to the peers. */
+  publish?: (update: TableUpdate) => void;
   /** Receives all rows of the table at the start and after its history was lost. */
   onSnapshot: (rows: readonly Row[], version: number) => void;
   /** Receives changed rows; deleted rows have no value. */
@@ -21,10 +51,30 @@
 /** Delay after a failed call; limits retries to a few per second. */
 const RETRY_DELAY_MILLISECONDS = 250;
 
-/** Follows the changes of one table and resumes after outages of the store. */
+const DEFAULT_KEEPALIVE_MILLISECONDS = 250;
+
+/** Longest sleep while the copy is fresh; the maximum age can change meanwhile. */
+const LONGEST_SLEEP_MILLISECONDS = 500;
+
+/**
+ * Follows the changes of one table and resumes after outages of the store.
+ *
+ * Hundreds of hosts that follow a table alone exceed the store's rate. Each host
+ * therefore reads only when its copy is older than its own maximum age, and sends
+ * what it has read to its peers. The host with the smallest maximum age reads in
+ * practice; when it stops, is cut off or freezes, the copies of the others age
+ * and the next one reads. No election is needed, and two readers do no harm.
+ */
 export class TableFollower {
   private readonly stopController = new AbortController();
   private version: number | undefined;
+  private readonly rows = new Map<string, Row>();
+  private freshAt = Number.NEGATIVE_INFINITY;
+  /** Version after the last read of this host. */
+  private readVersion: number | undefined;
+  /** Version up to which peers know what this host has read without a gap. */
+  private publishedVersion = 0;
+  private publishedAt = Number.NEGATIVE_INFINITY;
   private unavailableSince: number | undefined;
   private recoveredAt = Number.NEGATIVE_INFINITY;
 
@@ -37,11 +87,19 @@
 
   /** Follows the table until {@link stop}. */
   async run(): Promise<void> {
-    const {clock, pauseMilliseconds} = this.options;
+    const {clock, pauseMilliseconds, maximumAgeMilliseconds} = this.options;
     const {signal} = this.stopController;
     while (!signal.aborted) {
+      const freshFor = this.freshFor();
+      if (freshFor > 0) {
+        const delay = Math.min(freshFor, LONGEST_SLEEP_MILLISECONDS);
+        await sleep(clock, delay, signal);
+        continue;
+      }
       const succeeded = await this.poll();
-      const pause = succeeded ? pauseMilliseconds() : RETRY_DELAY_MILLISECONDS;
+      const pause = succeeded
+        ? pauseMilliseconds()
+        : Math.max(RETRY_DELAY_MILLISECONDS, maximumAgeMilliseconds() / 2);
       if (pause > 0) await sleep(clock, pause, signal);
     }
   }
@@ -51,9 +109,59 @@
     this.stopController.abort();
   }
 
+  /**
+   * Applies an update of a peer.
+   *
+   * @returns False if changes before the update are missing here, so that it was
+   *   not applied.
+   */
+  receive(update: TableUpdate): boolean {
+    const known = this.version;
+    const hasGap = known === undefined || update.afterVersion > known;
+    if (hasGap && !update.isComplete) return false;
+    const now = this.options.clock.monotonicMilliseconds();
+    if (update.regainedMilliseconds !== undefined) {
+      const regainedAt = now - update.regainedMilliseconds;
+      this.recoveredAt = Math.max(this.recoveredAt, regainedAt);
+    }
+    if (update.isComplete) {
+      if (update.version <= (known ?? 0)) return true;
+      this.version = update.version;
+      this.replaceRows(update.rows);
+      this.options.onSnapshot(update.rows, update.version);
+    } else {
+      this.applyChanges(update.rows, update.version);
+    }
+    this.freshAt = Math.max(this.freshAt, now - update.ageMilliseconds);
+    return true;
+  }
+
+  /** The whole table as known here, for a peer that misses changes. */
+  content(): TableUpdate | undefined {
+    if (this.version === undefined) return undefined;
+    const now = this.options.clock.monotonicMilliseconds();
+    return {
+      table: this.options.table,
+      afterVersion: 0,
+      isComplete: true,
+      version: this.version,
+      rows: [...this.rows.values()],
+      ageMilliseconds: now - this.freshAt,
+      regainedMilliseconds: this.sinceRecovery(now),
+    };
+  }
+
+  /** Time until this host must read the store itself; 0 or less if it must now. */
+  private freshFor(): number {
+    if (this.version === undefined) return 0;
+    const age = this.options.clock.monotonicMilliseconds() - this.freshAt;
+    return this.options.maximumAgeMilliseconds() - age;
+  }
+
   private async poll(): Promise<boolean> {
-    const {store, table, waitMilliseconds} = this.options;
+    const {store, table, waitMilliseconds, clock} = this.options;
     const knownVersion = this.version;
+    const startedAt = clock.monotonicMilliseconds();
     const page =
       knownVersion === undefined
         ? await store.readTable(table)
@@ -65,12 +173,72 @@
     }
     this.handleSuccess();
     const {rows, version} = page.value;
-    this.version = version;
-    if (knownVersion === undefined) this.options.onSnapshot(rows, version);
-    else if (rows.length > 0) this.options.onChanges(rows, version);
+    // Peers may have missed updates that this host received in between.
+    if (knownVersion !== this.readVersion) {
+      this.publishedVersion = knownVersion ?? version;
+    }
+    this.readVersion = version;
+    if (knownVersion === undefined) {
+      this.version = version;
+      this.freshAt = startedAt;
+      this.replaceRows(rows);
+      this.options.onSnapshot(rows, version);
+      return true;
+    }
+    // An empty page was written only after the wait, so the table is known up to
+    // that time.
+    const waited = rows.length === 0 ? waitMilliseconds : 0;
+    const now = clock.monotonicMilliseconds();
+    this.freshAt = Math.max(this.freshAt, Math.min(now, startedAt + waited));
+    this.publish(rows, version);
+    this.applyChanges(rows, version);
     return true;
   }
 
+  private applyChanges(rows: readonly Row[], version: number): void {
+    const known = this.version ?? 0;
+    this.version = Math.max(known, version);
+    const changed = rows.filter(row => row.version > known);
+    for (const row of changed) {
+      if (row.value === undefined) this.rows.delete(row.key);
+      else this.rows.set(row.key, row);
+    }
+    if (changed.length > 0) this.options.onChanges(changed, version);
+  }
+
+  private publish(rows: readonly Row[], version: number): void {
+    const {publish, isSignificant, table, clock} = this.options;
+    if (publish === undefined) return;
+    const now = clock.monotonicMilliseconds();
+    const significant = rows.filter(row => isSignificant?.(row) ?? true);
+    const keepalive =
+      this.options.keepaliveMilliseconds ?? DEFAULT_KEEPALIVE_MILLISECONDS;
+    const isDue = now - this.publishedAt >= keepalive;
+    if (significant.length === 0 && !isDue) return;
+    publish({
+      table,
+      afterVersion: this.publishedVersion,
+      isComplete: false,
+      version,
+      rows: significant,
+      ageMilliseconds: now - this.freshAt,
+      regainedMilliseconds: this.sinceRecovery(now),
+    });
+    this.publishedVersion = version;
+    this.publishedAt = now;
+  }
+
+  private replaceRows(rows: readonly Row[]): void {
+    this.rows.clear();
+    for (const row of rows) this.rows.set(row.key, row);
+  }
+
+  private sinceRecovery(now: number): number | undefined {
+    return this.recoveredAt === Number.NEGATIVE_INFINITY
+      ? undefined
+      : now - this.recoveredAt;
+  }
+
   private handleFailure(kind: string, reason: string): void {
     const {logger, table, clock} = this.options;
     if (kind === 'history_lost') {
--- a/src/testing/platform_deployment.ts
+++ b/src/testing/platform_deployment.ts
@@ -144,6 +144,10 @@
     graceSeconds: 3,
     addressLifetimeMilliseconds: 100,
     orderTurnMilliseconds: 200,
+    drainMilliseconds: 2000,
+    configurationMilliseconds: 2000,
+    processor: {share: 1, speed: 1},
+    linkMegabits: 1000,
     retries: {ratio: 0.2, slack: 56, windowSeconds: 10},
     log: {servedLinesPerSecond: 100, otherLinesPerSecond: 1000},
   };
