Keep busy models ahead of traffic, announce less, forecast the weight store

(c) A refused request counted as demand for 2.5 s, less than its Retry-After, so its model was never loaded; with a longer life it aged and evicted models in use. Ruled out: bytes of tables (15 of 90 MB in a count by message, event 806). Changes: expectedRates takes the number of replicas as the rate until requests come; planned evictions count in the same round; reports wait 50 ms for each other; announcements list expectations every 250 ms at most; the forecast lays loads out over the slots of the weight store and a host refuses by its caller's deadline; refused requests count until their return and do not age; standby hosts get their first tables from their upstream host. Bytes to peers are counted by message (metric, event 806).

--- a/src/engines/_placement_plan.ts
+++ b/src/engines/_placement_plan.ts
@@ -55,6 +55,18 @@
  */
 const EVICTION_COST_PER_REQUEST_RATE = 20_000;
 
+/**
+ * The same for a replica beyond the required and standby ones; only orders these
+ * among each other.
+ */
+const SPARE_EVICTION_COST_PER_REQUEST_RATE = 0.01;
+
+/**
+ * Cost of evicting the only replica of a model without any known request, so that
+ * spare replicas of other models go first.
+ */
+const MINIMUM_EVICTION_COST_MILLISECONDS = 10;
+
 /** State of one call of {@link planPlacement}. */
 export class PlacementPlan {
   readonly loads: PlannedLoad[] = [];
@@ -139,6 +151,9 @@
     );
     this.loads.push(best.load);
     this.loading.add(model);
+    for (const evicted of best.load.evictions) {
+      increase(this.replicas, evicted, -1);
+    }
     return true;
   }
 
@@ -246,9 +261,11 @@
     isSpare: boolean,
     isStandby: boolean,
   ): number {
-    if (isSpare) return rate;
+    if (isSpare) return rate * SPARE_EVICTION_COST_PER_REQUEST_RATE;
     if (isStandby) return STANDBY_EVICTION_COST_MILLISECONDS;
-    return rate * EVICTION_COST_PER_REQUEST_RATE;
+    return (
+      MINIMUM_EVICTION_COST_MILLISECONDS + rate * EVICTION_COST_PER_REQUEST_RATE
+    );
   }
 
   private usedMegabytes(engine: EngineSnapshot): number {
--- /dev/null
+++ b/src/engines/_replica_announcer_test.ts
@@ -0,0 +1,64 @@
+import {describe, expect, test} from 'vitest';
+import {ManualClock} from '../testing/manual_clock.ts';
+import {ReplicaAnnouncer} from './_replica_announcer.ts';
+import type {ReplicaAnnouncement} from './mod.ts';
+
+const ENGINES = 100;
+
+function state(changedEngine: number, awaited: string): ReplicaAnnouncement {
+  return {
+    service: 'chat',
+    epoch: 1,
+    engines: Array.from({length: ENGINES}, (_unused, index) => ({
+      endpoint: `engine-${index}`,
+      startedAt: 1,
+      targets: index === changedEngine ? ['new', 'old'] : ['old'],
+    })),
+    expected: [{target: awaited, readyInMilliseconds: 500}],
+    remoteOnly: {models: ['rare-1', 'rare-2'], readyInMilliseconds: 7000},
+  };
+}
+
+describe('ReplicaAnnouncer', () => {
+  // The whole table of 82 engines, sent to 195 hosts on each change, took most of
+  // the links of the deployment.
+  test('lists only engines that have changed', () => {
+    const clock = new ManualClock();
+    const sent: ReplicaAnnouncement[] = [];
+    const announcer = new ReplicaAnnouncer({
+      clock,
+      announce: announcement => sent.push(announcement),
+    });
+    announcer.announce(state(-1, 'rare-1'));
+    announcer.announce(state(7, 'rare-1'));
+    expect(sent.map(({engines}) => engines.length)).toEqual([ENGINES, 1]);
+    expect(sent[1]?.remoteOnly?.models).toBeUndefined();
+  });
+
+  test.each([
+    {name: 'nothing', awaited: () => 'rare-1', expected: 3},
+    {name: 'only expectations', awaited: String, expected: 5},
+  ])('announces $expected times a second if $name changes', entry => {
+    const clock = new ManualClock();
+    let count = 0;
+    const announcer = new ReplicaAnnouncer({clock, announce: () => count++});
+    for (let now = 0; now <= 1000; now += 50) {
+      announcer.announce(state(-1, entry.awaited(now)));
+      clock.advance(50);
+    }
+    expect(count).toBe(entry.expected);
+  });
+
+  test('is complete again after a reset', () => {
+    const sent: ReplicaAnnouncement[] = [];
+    const announcer = new ReplicaAnnouncer({
+      clock: new ManualClock(),
+      announce: announcement => sent.push(announcement),
+    });
+    announcer.announce(state(-1, 'rare-1'));
+    announcer.reset();
+    announcer.announce(state(-1, 'rare-1'));
+    expect(sent[1]?.engines.length).toBe(ENGINES);
+    expect(sent[1]?.remoteOnly?.models?.length).toBe(2);
+  });
+});
--- a/src/engines/arrival_rates.ts
+++ b/src/engines/arrival_rates.ts
@@ -12,6 +12,17 @@
   private readonly rates = new Map<string, number>();
   private counts: ReadonlyMap<string, number> = new Map();
   private updatedAt: number | undefined;
+  private hasArrivals = false;
+
+  /**
+   * Sets expected rates until requests arrive; these then replace them at the pace
+   * of the moving averages. Rates that are known already are kept.
+   */
+  expect(rates: ReadonlyMap<string, number>): void {
+    for (const [target, rate] of rates) {
+      this.rates.set(target, Math.max(this.of(target), rate));
+    }
+  }
 
   /**
    * Updates the rates from counts since the hosts started; a restart lowers
@@ -23,6 +34,12 @@
     if (this.updatedAt !== undefined && elapsed < UPDATE_MILLISECONDS) return;
     this.counts = counts;
     this.updatedAt = now;
+    if (!this.hasArrivals) {
+      this.hasArrivals = [...counts].some(
+        ([target, count]) => count > (previous.get(target) ?? 0),
+      );
+      if (!this.hasArrivals) return;
+    }
     const decay = Math.exp(-elapsed / TIME_CONSTANT_MILLISECONDS);
     for (const target of new Set([...counts.keys(), ...this.rates.keys()])) {
       const arrived = (counts.get(target) ?? 0) - (previous.get(target) ?? 0);
--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -42,14 +42,18 @@
 const RETRY_AFTER_MILLISECONDS = 500;
 
 /**
- * Time for which a refused request still counts as demand, since callers are
- * expected to retry.
+ * Time after the end of its Retry-After for which a refused request still counts as
+ * demand, since its caller is expected to retry.
  */
 const REFUSED_DEMAND_LIFETIME_MILLISECONDS = 2500;
 
+/** Share of the time left to a caller after which it retries at the latest. */
+const RETURN_SHARE = 1 / 3;
+
 interface RefusedDemand {
   readonly request: RoutedRequest;
-  readonly at: number;
+  /** Monotonic time at which it stops to count as demand. */
+  readonly until: number;
 }
 
 interface Waiter {
@@ -129,16 +133,16 @@
    */
   waiting(): LoadReport['waiting'] {
     const now = this.options.clock.monotonicMilliseconds();
-    const refused = [...this.refused].flatMap(([key, {request, at}]) => {
-      if (now - at > REFUSED_DEMAND_LIFETIME_MILLISECONDS)
-        this.refused.delete(key);
+    const refused = [...this.refused].flatMap(([key, {request, until}]) => {
+      if (now > until) this.refused.delete(key);
       if (!this.refused.has(key) || this.waiters.has(key)) return [];
       const target = targetOf(request.metadata);
       const {service, priority} = request;
       if (this.options.replicas.holders(service.name, target).length > 0) {
         return [];
       }
-      const waitedMilliseconds = now - at;
+      // Nobody waits: age must not justify evictions or loads from the weight store.
+      const waitedMilliseconds = 0;
       return [
         {
           service: service.name,
@@ -209,20 +213,24 @@
     const deadline = this.waitDeadline(request);
     const service = request.service.name;
     const model = request.metadata.model ?? target;
-    const expectedAt = replicas.expectedAt(service, model);
-    const unavailableUntil =
-      expectedAt === undefined
-        ? replicas.unavailableUntil(service, model)
-        : undefined;
-    const readyAt = expectedAt ?? unavailableUntil ?? now;
-    const isHopeless = unavailableUntil !== undefined || readyAt >= deadline;
-    if (now < deadline && !isHopeless) return undefined;
-    this.refused.set(`${service} ${target}`, {request, at: now});
+    const readyAt =
+      replicas.expectedAt(service, model) ??
+      replicas.remoteReadyAt(service, model) ??
+      now;
+    if (now < deadline && readyAt < deadline) return undefined;
+    const retryAfter = Math.max(RETRY_AFTER_MILLISECONDS, readyAt - now);
+    this.refused.set(`${service} ${target}`, {
+      request,
+      until:
+        now +
+        Math.min(retryAfter, (request.deadlineAt - now) * RETURN_SHARE) +
+        REFUSED_DEMAND_LIFETIME_MILLISECONDS,
+    });
     onDemandChanged();
     return refusal(
       REQUEST_ERROR_CODES.noReplica,
       `No engine can load "${target}" within the caller's time-out`,
-      Math.max(RETRY_AFTER_MILLISECONDS, readyAt - now),
+      retryAfter,
     );
   }
 
--- a/src/engines/forecast_loads.ts
+++ b/src/engines/forecast_loads.ts
@@ -12,17 +12,18 @@
   readonly demand: ReadonlyMap<string, ModelDemand>;
   /** Further loads from the weight store that may start now. */
   readonly remoteLoadsAllowed: number;
+  /** Milliseconds until each load from the weight store in progress has ended. */
+  readonly remoteLoadsEndIn: readonly number[];
 }
 
 /** When requests for models without a replica can be served. */
 export interface LoadForecast {
   /** Expected milliseconds until awaited models are ready. */
   readonly readyIn: ReadonlyMap<string, number>;
-  /**
-   * Models that no engine has a copy of and that cannot be loaded from the weight
-   * store at present.
-   */
-  readonly unavailable: ReadonlySet<string>;
+  /** Models that only the weight store has and that are not being loaded. */
+  readonly remoteOnly: ReadonlySet<string>;
+  /** Expected milliseconds until one of those is ready if it is asked for now. */
+  readonly remoteReadyIn: number;
 }
 
 /**
@@ -32,13 +33,12 @@
  * in place of holding it until then.
  *
  * The loads are laid out in the order of their benefit, each on the engine with a
- * copy that is free first. An estimate is too low when running requests delay an
+ * copy that is free first, or in the next free slot of the weight store. An estimate is too low when running requests delay an
  * eviction, so it never refuses a request that could have been served.
  */
 export function forecastLoads(input: ForecastInput): LoadForecast {
   const {pool, engines, demand} = input;
   const readyIn = new Map<string, number>();
-  const unavailable = new Set<string>();
   const freeIn = new Map<string, number>();
   const copies = new Map<string, EngineSnapshot[]>();
   const loaded = new Set<string>();
@@ -55,36 +55,63 @@
       else holders.push(engine);
     }
   }
+  const loading = new Set(readyIn.keys());
   const awaited = [...demand]
     .filter(([, {waiting}]) => waiting > 0)
     .sort(([, left], [, right]) => loadBenefit(right) - loadBenefit(left));
-  let remoteLoads = input.remoteLoadsAllowed;
+  const remoteSlots = [
+    ...Array.from({length: input.remoteLoadsAllowed}, () => 0),
+    ...input.remoteLoadsEndIn,
+  ];
   for (const [name] of awaited) {
     const model = pool.models.get(name);
     if (model === undefined || loaded.has(name) || readyIn.has(name)) continue;
     const holders = copies.get(name);
-    if (holders === undefined && remoteLoads <= 0) continue;
-    const first = (holders ?? engines).reduce<EngineSnapshot | undefined>(
-      (best, engine) =>
-        best === undefined ||
-        (freeIn.get(engine.id) ?? 0) < (freeIn.get(best.id) ?? 0)
-          ? engine
-          : best,
-      undefined,
-    );
-    if (first === undefined) continue;
-    if (holders === undefined) remoteLoads--;
+    const slot = holders === undefined ? takeFirst(remoteSlots) : 0;
+    const first = freeFirst(holders ?? engines, freeIn);
+    if (first === undefined || slot === undefined) continue;
+    const startsIn = Math.max(slot, freeIn.get(first.id) ?? 0);
     const tier = nearestTier(first, name);
-    const ready =
-      (freeIn.get(first.id) ?? 0) + expectedLoadMilliseconds(model, tier);
+    const ready = startsIn + expectedLoadMilliseconds(model, tier);
+    if (holders === undefined) remoteSlots.push(ready);
     freeIn.set(first.id, ready);
     readyIn.set(name, ready);
   }
-  if (remoteLoads <= 0) {
-    for (const name of pool.models.keys()) {
-      const isKnown = loaded.has(name) || readyIn.has(name) || copies.has(name);
-      if (!isKnown) unavailable.add(name);
-    }
-  }
-  return {readyIn, unavailable};
+  const remoteOnly = new Set(
+    [...pool.models.keys()].filter(
+      name => !loaded.has(name) && !loading.has(name) && !copies.has(name),
+    ),
+  );
+  const remoteLoad = Math.max(
+    0,
+    ...[...remoteOnly].map(
+      name => pool.models.get(name)?.remoteLoadMilliseconds ?? 0,
+    ),
+  );
+  return {
+    readyIn,
+    remoteOnly,
+    remoteReadyIn: Math.min(...remoteSlots) + remoteLoad,
+  };
+}
+
+/** Removes and returns the smallest number. */
+function takeFirst(numbers: number[]): number | undefined {
+  if (numbers.length === 0) return undefined;
+  const index = numbers.indexOf(Math.min(...numbers));
+  return numbers.splice(index, 1)[0];
+}
+
+function freeFirst(
+  engines: readonly EngineSnapshot[],
+  freeIn: ReadonlyMap<string, number>,
+): EngineSnapshot | undefined {
+  return engines.reduce<EngineSnapshot | undefined>(
+    (best, engine) =>
+      best === undefined ||
+      (freeIn.get(engine.id) ?? 0) < (freeIn.get(best.id) ?? 0)
+        ? engine
+        : best,
+    undefined,
+  );
 }
--- a/src/engines/mod.ts
+++ b/src/engines/mod.ts
@@ -25,6 +25,7 @@
   OrderOutcome,
 } from './engine_control.ts';
 export {EngineState, type PendingOrder} from './engine_state.ts';
+export {expectedRates} from './expected_rates.ts';
 export {
   type ForecastInput,
   forecastLoads,
--- a/src/engines/plan_placement_test.ts
+++ b/src/engines/plan_placement_test.ts
@@ -4,6 +4,7 @@
   type ModelDemand,
   type PlacementInput,
   type EngineSnapshot,
+  expectedRates,
   planPlacement,
 } from './mod.ts';
 
@@ -325,6 +326,30 @@
     expect(loads.length).toBe(4);
   });
 
+  // Before traffic, rare models are loaded ahead from the weight store. On a played
+  // day each of these loads evicted the busiest model, which is on all engines and
+  // first in their lists, until none was left when its requests came.
+  test('loads ahead of traffic keep replicas of models that are on many engines', () => {
+    const engines = ['e1', 'e2', 'e3', 'e4'].map((id, index) =>
+      engine(id, ['busy', `rare-${index + 1}`]),
+    );
+    const rates = expectedRates(engines);
+    const demand = Object.fromEntries(
+      [...rates].map(([model, rate]) => [model, steady(rate)]),
+    );
+    const models = new Map(TERMS.models);
+    for (const name of ['new-1', 'new-2', 'new-3', 'new-4']) {
+      models.set(name, {...TERMS.models.get('busy')!, name});
+    }
+    const loads = planPlacement({
+      ...inputOf({name: '', engines, demand, preloads: 4, expected: []}),
+      pool: {...TERMS, models},
+    });
+    const evicted = loads.flatMap(({evictions}) => evictions);
+    expect(loads.length).toBe(4);
+    expect(evicted.filter(model => model === 'busy').length).toBe(2);
+  });
+
   // First requests for many rarely used models at once, compared with a
   // baseline policy that loads each from the weight store on the first engine with room.
   test('first requests for many rarely used models use all engines at once', () => {
--- a/src/engines/pool_manager.ts
+++ b/src/engines/pool_manager.ts
@@ -5,6 +5,7 @@
 import type {EndpointRegistry, FleetLoad} from '../fleet/mod.ts';
 import type {EventLogger, Metrics} from '../observability/mod.ts';
 import {type Clock, sleep} from '../time/mod.ts';
+import {describeReplicas, ReplicaAnnouncer} from './_replica_announcer.ts';
 import {AdapterLoader} from './_adapter_loader.ts';
 import {demandByModel} from './_demand_by_model.ts';
 import {OrderDispatcher} from './_order_dispatcher.ts';
@@ -12,6 +13,7 @@
 import {ArrivalRates} from './arrival_rates.ts';
 import {EngineState, type PendingOrder} from './engine_state.ts';
 import type {EngineControl} from './engine_control.ts';
+import {expectedRates} from './expected_rates.ts';
 import {forecastLoads, type LoadForecast} from './forecast_loads.ts';
 import {expectedLoadMilliseconds} from './load_tier.ts';
 import type {ModelDemand} from './model_demand.ts';
@@ -48,9 +50,6 @@
 /** Interval between rounds on a host that does not manage the pool. */
 const IDLE_ROUND_MILLISECONDS = 1000;
 
-/** Interval at which unchanged announcements are repeated as a sign of life. */
-const ANNOUNCEMENT_MILLISECONDS = 500;
-
 /** Maximum concurrent preloads while no request waits for a load. */
 const PRELOAD_CONCURRENCY = 4;
 
@@ -78,7 +77,11 @@
 /** Minimum interval between reports of an engine whose state is unknown. */
 const REPORT_PAUSE_MILLISECONDS = 400;
 
-const NO_FORECAST: LoadForecast = {readyIn: new Map(), unavailable: new Set()};
+const NO_FORECAST: LoadForecast = {
+  readyIn: new Map(),
+  remoteOnly: new Set(),
+  remoteReadyIn: 0,
+};
 
 /** Loads and unloads the models of one pool while this host holds its lease. */
 export class PoolManager {
@@ -87,18 +90,16 @@
   private readonly rates = new ArrivalRates();
   private readonly orders: OrderDispatcher;
   private readonly adapters: AdapterLoader;
+  private readonly announcer: ReplicaAnnouncer;
   private budget: RemoteLoadBudget | undefined;
   private epoch: number | undefined;
   private wake: () => void = () => undefined;
-  private announcedAt = Number.NEGATIVE_INFINITY;
-  /** Last announced state of each engine. */
-  private announced: ReadonlyMap<string, string> = new Map();
-  private announcedExpected = '';
-  private announcedUnavailable = '';
   private forecast: LoadForecast = NO_FORECAST;
+  private forecastAt = 0;
 
   constructor(private readonly options: PoolManagerOptions) {
     const onChange = () => this.announceChanges();
+    this.announcer = new ReplicaAnnouncer(options);
     this.orders = new OrderDispatcher({
       ...options,
       epoch: () => this.epoch,
@@ -156,8 +157,10 @@
       return;
     }
     this.rates.update(this.options.load.arrivals(service.name), now);
-    if (lease.epoch !== this.epoch) this.startTerm(lease.epoch, pool, now);
+    const isNewTerm = lease.epoch !== this.epoch;
+    if (isNewTerm) this.startTerm(lease.epoch, pool, now);
     this.applyRows(service.name, now);
+    if (isNewTerm) this.rates.expect(expectedRates(this.engines.values()));
     this.announceChanges();
     if (!lease.mayIssueOrders() || this.budget === undefined) return;
     const {load} = this.options;
@@ -182,7 +185,18 @@
         this.preloadConcurrency(demand) - this.budget.active,
       ),
     });
-    this.forecast = forecastLoads({pool, engines, demand, remoteLoadsAllowed});
+    this.forecast = forecastLoads({
+      pool,
+      engines,
+      demand,
+      remoteLoadsAllowed,
+      remoteLoadsEndIn: [...this.engines.values()].flatMap(({pending}) =>
+        pending?.tier === 'remote'
+          ? [Math.max(0, pending.expectedAt - now)]
+          : [],
+      ),
+    });
+    this.forecastAt = now;
     for (const planned of loads) void this.executeLoad(planned, pool);
     this.adapters.startLoads(
       [...this.engines.values()],
@@ -194,7 +208,7 @@
 
   private endTerm(): void {
     this.engines.clear();
-    this.announced = new Map();
+    this.announcer.reset();
     this.forecast = NO_FORECAST;
     this.epoch = undefined;
     this.budget = undefined;
@@ -397,96 +411,22 @@
 
   /** Complete state of the pool's engines; undefined while it isn't managed here. */
   currentAnnouncement(): ReplicaAnnouncement | undefined {
-    const service = this.options.service();
-    const {epoch} = this;
+    const service = this.options.service()?.name;
+    const {epoch, engines, forecast, forecastAt} = this;
     if (service === undefined || epoch === undefined) return undefined;
-    const now = this.options.clock.monotonicMilliseconds();
-    const {renewal} = this.options.lease;
-    return {
-      service: service.name,
+    return describeReplicas({
+      service,
       epoch,
-      ...(renewal === undefined ? {} : {renewal}),
-      engines: [...this.engines.values()].map(engine => ({
-        endpoint: engine.record.id,
-        startedAt: engine.record.startedAt,
-        targets: engine.availableTargets(),
-      })),
-      expected: [...this.expectedReadiness(now)].map(
-        ([target, readyInMilliseconds]) => ({target, readyInMilliseconds}),
-      ),
-      unavailable: {
-        models: [...this.forecast.unavailable],
-        readyInMilliseconds: this.nextRemoteReadiness(now),
-      },
-    };
-  }
-
-  /** Milliseconds until awaited models are ready, by model. */
-  private expectedReadiness(now: number): ReadonlyMap<string, number> {
-    const expected = new Map(this.forecast.readyIn);
-    for (const {pending} of this.engines.values()) {
-      if (pending?.operation !== 'load') continue;
-      expected.set(pending.model, Math.max(0, pending.expectedAt - now));
-    }
-    return expected;
-  }
-
-  /** Milliseconds until a load from the weight store that starts next can be ready. */
-  private nextRemoteReadiness(now: number): number {
-    const running = [...this.engines.values()].flatMap(({pending}) =>
-      pending?.tier === 'remote'
-        ? [
-            {
-              remaining: Math.max(0, pending.expectedAt - now),
-              takes: pending.expectedAt - pending.startedAt,
-            },
-          ]
-        : [],
-    );
-    if (running.length === 0) return 0;
-    return (
-      Math.min(...running.map(({remaining}) => remaining)) +
-      Math.max(...running.map(({takes}) => takes))
-    );
+      renewal: this.options.lease.renewal,
+      engines: [...engines.values()],
+      forecast,
+      forecastAt,
+      now: this.options.clock.monotonicMilliseconds(),
+    });
   }
 
-  /**
-   * Announces the engines whose targets have changed, or none of them as a sign
-   * of life when the interval is over.
-   */
   private announceChanges(): void {
     const announcement = this.currentAnnouncement();
-    if (announcement === undefined) return;
-    const now = this.options.clock.monotonicMilliseconds();
-    const contents = new Map(
-      announcement.engines.map(engine => [
-        engine.endpoint,
-        `${engine.startedAt} ${engine.targets.join(' ')}`,
-      ]),
-    );
-    const changed = announcement.engines.filter(
-      ({endpoint}) => this.announced.get(endpoint) !== contents.get(endpoint),
-    );
-    const expected = announcement.expected.map(({target}) => target).join(' ');
-    const isDue = now - this.announcedAt >= ANNOUNCEMENT_MILLISECONDS;
-    const unavailable = announcement.unavailable?.models.join(' ') ?? '';
-    const isUnavailableChanged = unavailable !== this.announcedUnavailable;
-    const hasChanged =
-      changed.length > 0 ||
-      expected !== this.announcedExpected ||
-      isUnavailableChanged;
-    if (!hasChanged && !isDue) return;
-    this.announcedUnavailable = unavailable;
-    this.announced = contents;
-    this.announcedExpected = expected;
-    this.announcedAt = now;
-    const {unavailable: models, ...rest} = announcement;
-    this.options.announce({
-      ...rest,
-      engines: changed,
-      ...(isUnavailableChanged && models !== undefined
-        ? {unavailable: models}
-        : {}),
-    });
+    if (announcement !== undefined) this.announcer.announce(announcement);
   }
 }
--- a/src/engines/replica_map.ts
+++ b/src/engines/replica_map.ts
@@ -19,9 +19,9 @@
   readonly targets: ReadonlySet<string>;
 }
 
-interface UnavailableModels {
+interface RemoteModels {
   readonly models: ReadonlySet<string>;
-  /** Monotonic time at which one of them can be ready. */
+  /** Monotonic time at which a further one of them can be ready. */
   readonly readyAt: number;
 }
 
@@ -47,7 +47,7 @@
   private readonly announced = new Map<string, AnnouncedEngine>();
   private readonly announcedAt = new Map<string, number>();
   private readonly expectedReadyAt = new Map<string, Map<string, number>>();
-  private readonly unavailable = new Map<string, UnavailableModels>();
+  private readonly remoteOnly = new Map<string, RemoteModels>();
   private readonly refusedUntil = new Map<string, number>();
   private readonly epochs = new Map<string, number>();
   private readonly listeners = new Set<() => void>();
@@ -72,10 +72,13 @@
       for (const target of targets)
         this.refusedUntil.delete(`${endpoint} ${target}`);
     }
-    if (announcement.unavailable !== undefined) {
-      const {models, readyInMilliseconds} = announcement.unavailable;
-      this.unavailable.set(service, {
-        models: new Set(models),
+    if (announcement.remoteOnly !== undefined) {
+      const {models, readyInMilliseconds} = announcement.remoteOnly;
+      this.remoteOnly.set(service, {
+        models:
+          models === undefined
+            ? (this.remoteOnly.get(service)?.models ?? new Set())
+            : new Set(models),
         readyAt: receivedAt + readyInMilliseconds,
       });
     }
@@ -112,16 +115,16 @@
           readyInMilliseconds: Math.max(0, readyAt - now),
         }),
       );
-      const unavailable = this.unavailable.get(service);
+      const remoteOnly = this.remoteOnly.get(service);
       return [
         {
           service,
           epoch,
           engines,
           expected,
-          unavailable: {
-            models: [...(unavailable?.models ?? [])],
-            readyInMilliseconds: (unavailable?.readyAt ?? now) - now,
+          remoteOnly: {
+            models: [...(remoteOnly?.models ?? [])],
+            readyInMilliseconds: (remoteOnly?.readyAt ?? now) - now,
           },
         },
       ];
@@ -142,19 +145,19 @@
   }
 
   /**
-   * Monotonic time before which a model cannot be ready, since no engine has a copy
-   * and the weight store is busy; undefined if it can be loaded or is unknown.
+   * Monotonic time at which a model that only the weight store has can be ready if
+   * it is asked for now; undefined for other models.
    */
-  unavailableUntil(service: string, model: string): number | undefined {
+  remoteReadyAt(service: string, model: string): number | undefined {
     const now = this.options.clock.monotonicMilliseconds();
     const announcedAt =
       this.announcedAt.get(service) ?? Number.NEGATIVE_INFINITY;
     if (now - announcedAt > ANNOUNCEMENT_LIFETIME_MILLISECONDS) {
       return undefined;
     }
-    const unavailable = this.unavailable.get(service);
-    return unavailable?.models.has(model) === true
-      ? unavailable.readyAt
+    const remoteOnly = this.remoteOnly.get(service);
+    return remoteOnly?.models.has(model) === true
+      ? remoteOnly.readyAt
       : undefined;
   }
 
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -21,6 +21,7 @@
 import {FleetStateExchange} from './fleet_state_exchange.ts';
 import {HostRegistration} from './host_registration.ts';
 import type {PlatformAdapter} from './platform_adapter.ts';
+import {PeerTraffic} from './peer_traffic.ts';
 import {PoolSupervisor} from './pool_supervisor.ts';
 import {StoreFollowers} from './store_followers.ts';
 
@@ -68,11 +69,16 @@
   self: PeerIdentity,
 ): void {
   const {clock, logger} = context;
-  container
-    .bind(PeerNetwork)
-    .toDynamicValue(
-      () => new PeerNetwork({self, deployment: DEPLOYMENT, clock, logger}),
-    );
+  container.bind(PeerNetwork).toDynamicValue(
+    () =>
+      new PeerNetwork({
+        self,
+        deployment: DEPLOYMENT,
+        clock,
+        logger,
+        onSent: (kind, bytes) => container.get(PeerTraffic).add(kind, bytes),
+      }),
+  );
   const connected = () =>
     new Set(
       container
@@ -80,6 +86,9 @@
         .connectedPeers()
         .map(peer => peer.hostId),
     );
+  container
+    .bind(PeerTraffic)
+    .toDynamicValue(() => new PeerTraffic(container.get(Metrics)));
   container.bind(HostRegistry).toDynamicValue(
     () =>
       new HostRegistry({
@@ -193,7 +202,7 @@
         clock,
         dataCentre: settings.dataCentre,
         onDemandChanged: () => {
-          container.get(FleetStateExchange).report();
+          container.get(FleetStateExchange).reportSoon();
           container.get(PoolSupervisor).notify();
         },
       }),
@@ -288,6 +297,7 @@
         drainMilliseconds: settings.drainMilliseconds,
         configurationMilliseconds: settings.configurationMilliseconds,
         isFirstStart: settings.isFirstStart,
+        registrationMilliseconds: settings.registrationMilliseconds,
         managesPool: () => container.get(PoolSupervisor).managesPool,
         rank: () => container.get(FleetTopology).rank,
         random: Math.random,
--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -13,6 +13,7 @@
 import {EntryState} from './entry_state.ts';
 import {FleetStateExchange} from './fleet_state_exchange.ts';
 import {HostRegistration} from './host_registration.ts';
+import {PeerTraffic} from './peer_traffic.ts';
 import {PoolSupervisor} from './pool_supervisor.ts';
 import {StoreFollowers} from './store_followers.ts';
 
@@ -28,6 +29,9 @@
 /** Interval at which lost connections of active hosts are checked. */
 const TOPOLOGY_INTERVAL_MILLISECONDS = 500;
 
+/** Interval between log lines on the traffic with peers. */
+const TRAFFIC_LOG_MILLISECONDS = 10_000;
+
 const DRAIN_CHECK_MILLISECONDS = 100;
 
 /** An entry host on a platform: forwards requests and manages engine pools. */
@@ -121,9 +125,26 @@
 
   private async keepTopologyCurrent(): Promise<void> {
     const {clock} = this.context;
+    let loggedAt = clock.monotonicMilliseconds();
     while (!this.hasStopped) {
       this.updateTopology();
+      const now = clock.monotonicMilliseconds();
+      if (now - loggedAt >= TRAFFIC_LOG_MILLISECONDS) {
+        loggedAt = now;
+        this.logTraffic();
+      }
       await sleep(clock, TOPOLOGY_INTERVAL_MILLISECONDS);
     }
   }
+
+  private logTraffic(): void {
+    const topology = this.container.get(FleetTopology);
+    this.context.logger.event('peerTraffic', {
+      rank: topology.rank,
+      upstream: topology.upstream,
+      peers: this.container.get(PeerNetwork).connectedPeers().length,
+      downHosts: topology.downHosts,
+      sentBytes: this.container.get(PeerTraffic).takeSent(),
+    });
+  }
 }
--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -32,6 +32,11 @@
   isFirstStart: z
     .boolean()
     .describe('Whether the whole deployment starts for the first time.'),
+  registrationMilliseconds: milliseconds
+    .default(900)
+    .describe(
+      'Time for all hosts of a new deployment to register before their list is read; they start within 0.3 s of each other.',
+    ),
   store: addressSchema.describe('Address of the metadata store.'),
   storeTimeoutMilliseconds: milliseconds
     .default(900)
--- a/src/entry/fleet_state_exchange.ts
+++ b/src/entry/fleet_state_exchange.ts
@@ -68,6 +68,9 @@
 /** Interval between load reports. */
 const REPORT_INTERVAL_MILLISECONDS = 200;
 
+/** Minimum interval between load reports, also when the demand changes. */
+const MINIMUM_REPORT_INTERVAL_MILLISECONDS = 50;
+
 /** Interval between arrival reports, which are only used to compute rates. */
 const ARRIVAL_REPORT_INTERVAL_MILLISECONDS = 1000;
 
@@ -97,6 +100,7 @@
   private readonly abortController = new AbortController();
   private readonly knownStandbyHosts = new Set<string>();
   private lastReport = '';
+  private isReportScheduled = false;
   private reportedAt = Number.NEGATIVE_INFINITY;
   private arrivalsReportedAt = Number.NEGATIVE_INFINITY;
   private reportedArrivals = new Map<string, number>();
@@ -137,6 +141,24 @@
     this.abortController.abort();
   }
 
+  /**
+   * Sends a load report soon, because the demand has changed. Many requests at once
+   * share one report.
+   */
+  reportSoon(): void {
+    if (this.isReportScheduled) return;
+    this.isReportScheduled = true;
+    const sinceReport =
+      this.options.clock.monotonicMilliseconds() - this.reportedAt;
+    this.options.clock.startTimer(
+      Math.max(0, MINIMUM_REPORT_INTERVAL_MILLISECONDS - sinceReport),
+      () => {
+        this.isReportScheduled = false;
+        this.report();
+      },
+    );
+  }
+
   /** Sends a load report if it has changed or the idle interval has passed. */
   report(): void {
     const {clock, load, registry, topology} = this.options;
--- a/src/entry/store_followers.ts
+++ b/src/entry/store_followers.ts
@@ -26,6 +26,8 @@
   configurationMilliseconds: number;
   /** Whether the deployment starts for the first time. */
   isFirstStart: boolean;
+  /** Time for all hosts of a new deployment to register. */
+  registrationMilliseconds: number;
   /** Whether this host manages a pool and needs endpoint changes immediately. */
   managesPool: () => boolean;
   /** Returns the rank of this host among the active ones; undefined on a standby host. */
@@ -52,7 +54,7 @@
 const ENDPOINT_PAUSE_SHARE = 0.1;
 
 /** Pause between endpoint requests on a host that manages a pool, by endpoint. */
-const MANAGER_PAUSE_PER_ENDPOINT_MILLISECONDS = 1;
+const MANAGER_PAUSE_PER_ENDPOINT_MILLISECONDS = 2;
 
 /** Bounds of that pause: what a load from memory may be noticed late by. */
 const MANAGER_PAUSE_RANGE_MILLISECONDS = {minimum: 20, maximum: 200} as const;
@@ -67,13 +69,10 @@
 const HOST_MAXIMUM_AGE_MILLISECONDS = 12_000;
 
 /**
- * Time for all hosts of a new deployment to register before the list is read.
- * They start within 0.3 s of each other.
+ * Period over which the first reads of the hosts of a new deployment are spread,
+ * as a share of the time that they get to register.
  */
-const FIRST_START_MILLISECONDS = 900;
-
-/** Period over which the first reads of the hosts of a new deployment are spread. */
-const FIRST_START_SPREAD_MILLISECONDS = 300;
+const FIRST_READ_SPREAD = 1 / 3;
 
 /**
  * Follows the tables of the configuration, the endpoints and the hosts.
@@ -94,9 +93,13 @@
     const {platform, clock, logger, publish} = options;
     const {drainMilliseconds, configurationMilliseconds} = options;
     const common = {store: platform.store, clock, logger, publish};
+    // Standby hosts get their first copies from their upstream host. Until the
+    // hosts are known, this host may become one.
+    const isSupplied = () => options.rank() === undefined;
     this.configuration = new TableFollower({
       ...common,
       table: platform.configurationTable,
+      isSupplied,
       waitMilliseconds: configurationMilliseconds * CONFIGURATION_WAIT_SHARE,
       pauseMilliseconds: () => 0,
       maximumAgeMilliseconds: () =>
@@ -107,6 +110,7 @@
     this.endpoints = new TableFollower({
       ...common,
       table: platform.endpointTable,
+      isSupplied,
       waitMilliseconds: ENDPOINT_WAIT_MILLISECONDS,
       pauseMilliseconds: () => this.endpointPause(),
       maximumAgeMilliseconds: () =>
@@ -193,10 +197,11 @@
   }
 
   private async followHosts(): Promise<void> {
-    const {clock, isFirstStart, random} = this.options;
+    const {clock, isFirstStart, registrationMilliseconds, random} =
+      this.options;
     if (isFirstStart) {
       const delay =
-        FIRST_START_MILLISECONDS + random() * FIRST_START_SPREAD_MILLISECONDS;
+        registrationMilliseconds * (1 + random() * FIRST_READ_SPREAD);
       await sleep(clock, delay, this.stopController.signal);
     }
     await this.hosts.run();
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -349,6 +349,11 @@
     level: 'warn',
     message: 'Peer reads too slowly; connection closed',
   },
+  peerTraffic: {
+    number: 806,
+    level: 'info',
+    message: 'Role of this host and bytes sent to its peers, by message',
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 /** Name of an event in {@link EVENTS}. */
--- a/src/peers/_peer_connection.ts
+++ b/src/peers/_peer_connection.ts
@@ -51,13 +51,10 @@
     this.checkIdleTimeout();
   }
 
-  /** Queues a message; closes the connection if too many bytes are unsent. */
-  send(message: PeerMessage): void {
-    this.sendEncoded(encodePeerFrame(message));
-  }
-
-  /** Like {@link send}, for a message that is encoded already. */
-  sendEncoded(frame: Uint8Array): void {
+  /**
+   * Queues an encoded message; closes the connection if too many bytes are unsent.
+   */
+  send(frame: Uint8Array): void {
     if (this.closed) return;
     if (this.options.socket.bufferedAmount > this.options.maximumQueuedBytes) {
       this.options.logger.event('peerOverloaded', {peer: this.name});
--- a/src/peers/peer_message.ts
+++ b/src/peers/peer_message.ts
@@ -212,12 +212,13 @@
         targets: z.array(z.string()),
       }),
     ),
-    /**
-     * Models that no engine can load at present, and the time until one of them
-     * can be ready; absent when unchanged.
-     */
-    unavailable: z
-      .object({models: z.array(z.string()), readyInMilliseconds: milliseconds})
+    /** Models that only the weight store has, and when a further one can be ready. */
+    remoteOnly: z
+      .object({
+        /** Absent when unchanged. */
+        models: z.array(z.string()).optional(),
+        readyInMilliseconds: milliseconds,
+      })
       .optional(),
     /** Expected time until targets without a replica are ready. */
     expected: z.array(
--- a/src/peers/peer_network.ts
+++ b/src/peers/peer_network.ts
@@ -31,6 +31,8 @@
   maximumMessageBytes?: number;
   /** Maximum number of unsent bytes per peer. @default 33554432 */
   maximumQueuedBytes?: number;
+  /** Called with the bytes of each message, over all receivers. */
+  onSent?: (kind: PeerMessage['kind'], bytes: number) => void;
 }
 
 const DEFAULT_RECONNECT_MILLISECONDS = 500;
@@ -111,7 +113,7 @@
   send(hostId: string, message: PeerMessage): boolean {
     const connection = newestConnection(this.connectionsByHost.get(hostId));
     if (connection === undefined) return false;
-    connection.send(message);
+    this.sendEncoded([connection], message);
     return true;
   }
 
@@ -124,9 +126,16 @@
     const connections = [...hostIds].flatMap(
       hostId => newestConnection(this.connectionsByHost.get(hostId)) ?? [],
     );
-    if (connections.length === 0) return;
+    if (connections.length > 0) this.sendEncoded(connections, message);
+  }
+
+  private sendEncoded(
+    connections: readonly PeerConnection[],
+    message: PeerMessage,
+  ): void {
     const frame = encodePeerFrame(message);
-    for (const connection of connections) connection.sendEncoded(frame);
+    for (const connection of connections) connection.send(frame);
+    this.options.onSent?.(message.kind, frame.length * connections.length);
   }
 
   onMessage(handler: PeerMessageHandler): () => void {
--- a/src/stores/table_follower.ts
+++ b/src/stores/table_follower.ts
@@ -38,6 +38,11 @@
    * this host reads. @default 250
    */
   keepaliveMilliseconds?: number;
+  /**
+   * Whether a peer is expected to supply the first copy of the table, so that this
+   * host reads it itself only after {@link INITIAL_WAIT_MILLISECONDS}.
+   */
+  isSupplied?: () => boolean;
   /** Whether peers without access to the store need to know of a changed row. */
   isSignificant?: (row: Row) => boolean;
   /** Sends an update to the peers. */
@@ -53,6 +58,12 @@
 
 const DEFAULT_KEEPALIVE_MILLISECONDS = 250;
 
+/** Time that a host waits for the first copy of a table from a peer. */
+export const INITIAL_WAIT_MILLISECONDS = 2000;
+
+/** Interval at which such a host checks whether it must read the table itself. */
+const INITIAL_CHECK_MILLISECONDS = 50;
+
 /** Longest sleep while the copy is fresh; the maximum age can change meanwhile. */
 const LONGEST_SLEEP_MILLISECONDS = 500;
 
@@ -69,6 +80,7 @@
   private readonly stopController = new AbortController();
   private version: number | undefined;
   private readonly rows = new Map<string, Row>();
+  private startedAt = 0;
   private freshAt = Number.NEGATIVE_INFINITY;
   /** Version after the last read of this host. */
   private readVersion: number | undefined;
@@ -89,6 +101,7 @@
   async run(): Promise<void> {
     const {clock, pauseMilliseconds, maximumAgeMilliseconds} = this.options;
     const {signal} = this.stopController;
+    this.startedAt = clock.monotonicMilliseconds();
     while (!signal.aborted) {
       const freshFor = this.freshFor();
       if (freshFor > 0) {
@@ -153,11 +166,19 @@
 
   /** Time until this host must read the store itself; 0 or less if it must now. */
   private freshFor(): number {
-    if (this.version === undefined) return 0;
+    if (this.version === undefined) return this.initialWait();
     const age = this.options.clock.monotonicMilliseconds() - this.freshAt;
     return this.options.maximumAgeMilliseconds() - age;
   }
 
+  private initialWait(): number {
+    const {clock, isSupplied} = this.options;
+    const waited = clock.monotonicMilliseconds() - this.startedAt;
+    const isWaiting =
+      waited < INITIAL_WAIT_MILLISECONDS && isSupplied?.() === true;
+    return isWaiting ? INITIAL_CHECK_MILLISECONDS : 0;
+  }
+
   private async poll(): Promise<boolean> {
     const {store, table, waitMilliseconds, clock} = this.options;
     const knownVersion = this.version;
--- a/src/testing/platform_deployment.ts
+++ b/src/testing/platform_deployment.ts
@@ -139,6 +139,7 @@
     peerPort: ports.peers,
     metricsPort: 0,
     isFirstStart: true,
+    registrationMilliseconds: 0,
     store,
     storeTimeoutMilliseconds: 500,
     graceSeconds: 3,
