Bound what an endpoint in trouble may send

Cause, shown by tests that failed first: a stream without the end of an event was kept in memory until the route's timeout, the body of a refused request was read for as long as it came, and a response to a control call (store, engine report) had no bound but its time-out. Ruled out: heads and bytes that are no response (Node.js stops at 16 KiB), interim responses (the response time-out), buffered bodies (8 MiB, already bounded).

--- a/src/exchange/call_http.ts
+++ b/src/exchange/call_http.ts
@@ -20,6 +20,12 @@
   timeoutMilliseconds: number;
 }
 
+/**
+ * Maximum size of a response. Pages of the store have at most 1 MB, which base64 and
+ * JSON enlarge; anything larger is not a response to a control call.
+ */
+const MAXIMUM_RESPONSE_BYTES = 4 * 1024 * 1024;
+
 /** The complete response to a control call. */
 export interface HttpResponse {
   readonly status: number;
@@ -85,7 +91,17 @@
     clientRequest.on('error', fail);
     clientRequest.on('response', response => {
       const chunks: Buffer[] = [];
-      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      let bytes = 0;
+      response.on('data', (chunk: Buffer) => {
+        bytes += chunk.length;
+        if (bytes <= MAXIMUM_RESPONSE_BYTES) {
+          chunks.push(chunk);
+          return;
+        }
+        clientRequest.destroy(
+          new Error(`response exceeds ${MAXIMUM_RESPONSE_BYTES} bytes`),
+        );
+      });
       response.on('error', fail);
       response.on('end', () => {
         clearTimeout(timer);
--- a/src/exchange/mod.ts
+++ b/src/exchange/mod.ts
@@ -21,3 +21,4 @@
   type SendOptions,
   type SendOutcome,
 } from './send_to_endpoint.ts';
+export {discardResponse} from './discard_response.ts';
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -8,6 +8,7 @@
   unreachable,
 } from '../errors/mod.ts';
 import {
+  discardResponse,
   type EndpointResponse,
   sendToEndpoint,
   type SendOutcome,
@@ -244,7 +245,7 @@
     const {request, log} = this.context;
     const {message, status} = endpointResponse;
     if (wireFormat.isNotRun(message, request.metadata.requestId)) {
-      message.resume();
+      discardResponse(endpointResponse);
       endpoint.condition.recordAnswer(false);
       // An engine that was full or lacked the model may soon be the only one
       // that can run the request, so it is not excluded. noteRefused delays
--- a/src/relay/_stream_response.ts
+++ b/src/relay/_stream_response.ts
@@ -12,6 +12,12 @@
   readonly forwardsWholeEvents: boolean;
 }
 
+/**
+ * Maximum size of one event. More bytes without the end of an event are no event,
+ * and would be kept in memory.
+ */
+const MAXIMUM_EVENT_BYTES = 1024 * 1024;
+
 /** How the stream of one attempt ended. */
 export type StreamOutcome = 'complete' | 'broken';
 
@@ -31,6 +37,11 @@
     response.on('drain', resume);
     message.on('data', (chunk: Buffer) => {
       const events = splitter.push(chunk);
+      if (splitter.pendingBytes > MAXIMUM_EVENT_BYTES) {
+        endpointResponse.abort();
+        finish('broken');
+        return;
+      }
       const bytes = forwardsWholeEvents ? events : chunk;
       if (bytes.length === 0) return;
       stream.writeHead(endpointResponse);
