Publish removed endpoints, and none that only sent a heartbeat

The same comparison published each endpoint once on its first heartbeat. Ruled out: the maximum ages (the log shows the reader at 15.012 s, 4 ms after the removal, and no other host until 17.2 s).

--- a/src/entry/store_followers.ts
+++ b/src/entry/store_followers.ts
@@ -41,6 +41,15 @@
 /** Share of a bound by which the maximum age grows with each rank. */
 const RANK_SHARE = 0.03;
 
+/**
+ * Bound of that growth. A host whose reader and upstream host are both gone, as in a
+ * rolling restart, still has a third of the time for its own read.
+ */
+const MAXIMUM_RANK_SHARE = 0.15;
+
+/** Content that stands for an endpoint without a usable row. */
+const REMOVED_ENDPOINT = '';
+
 /** Rank that standby hosts count as; larger than that of most active hosts. */
 const STANDBY_RANK = 10;
 
@@ -118,6 +127,7 @@
       keepaliveMilliseconds: drainMilliseconds * ENDPOINT_PAUSE_SHARE,
       isSignificant: row => this.isSignificantEndpoint(row),
       onSnapshot: rows => {
+        for (const row of rows) this.isSignificantEndpoint(row);
         options.endpoints.applySnapshot(this.decodeEndpoints(rows));
         options.onEndpointsChanged();
       },
@@ -217,7 +227,10 @@
   private maximumAge(bound: number, share: number): number {
     const rank = this.options.rank();
     if (rank === 0) return 0;
-    const rankShare = Math.min((rank ?? STANDBY_RANK) * RANK_SHARE, 0.3);
+    const rankShare = Math.min(
+      (rank ?? STANDBY_RANK) * RANK_SHARE,
+      MAXIMUM_RANK_SHARE,
+    );
     return bound * (share + rankShare);
   }
 
@@ -239,18 +252,19 @@
       row.value === undefined
         ? undefined
         : platform.decodeEndpoint(row.key, row.version, row.value);
-    const content = JSON.stringify(
-      record && [
-        record.service,
-        record.address,
-        record.state,
-        record.slots,
-        record.startedAt,
-        record.leavesInMilliseconds === undefined,
-      ],
-    );
+    const content =
+      record === undefined
+        ? REMOVED_ENDPOINT
+        : JSON.stringify([
+            record.service,
+            record.address,
+            record.state,
+            record.slots,
+            record.startedAt,
+            record.leavesInMilliseconds === undefined,
+          ]);
     const isChanged = this.publishedEndpoints.get(row.key) !== content;
-    this.publishedEndpoints.set(row.key, content ?? '');
+    this.publishedEndpoints.set(row.key, content);
     return isChanged;
   }
 
