--- a/src/engines/pool_manager.ts
+++ b/src/engines/pool_manager.ts
@@ -47,6 +47,9 @@
  */
 const PAUSE_PER_ROUND_TIME = 4;
 
+/** Bound of that pause, so that a round slowed down by other work delays no load. */
+const MAXIMUM_ROUND_PAUSE_MILLISECONDS = 100;
+
 /** Interval between rounds on a host that does not manage the pool. */
 const IDLE_ROUND_MILLISECONDS = 1000;
 
@@ -126,7 +129,11 @@
       const startedAt = clock.monotonicMilliseconds();
       this.round();
       const took = clock.monotonicMilliseconds() - startedAt;
-      await sleep(clock, took * PAUSE_PER_ROUND_TIME, signal);
+      const pause = Math.min(
+        took * PAUSE_PER_ROUND_TIME,
+        MAXIMUM_ROUND_PAUSE_MILLISECONDS,
+      );
+      await sleep(clock, pause, signal);
       await this.nextRound();
     }
   }
--- a/src/entry/pool_supervisor.ts
+++ b/src/entry/pool_supervisor.ts
@@ -43,15 +43,15 @@
 
 /**
  * Additional time for each rank, so that few hosts read and write the lease at
- * once. Twice the time that a host of the next better rank takes to acquire it.
+ * once. About the mean time that a host takes to acquire it.
  */
-const MANAGER_TIMEOUT_PER_RANK_MILLISECONDS = 600;
+const MANAGER_TIMEOUT_PER_RANK_MILLISECONDS = 150;
 
 /**
  * Bound of that additional time: hosts of better rank may have lost the store
  * while they still exchange messages with this one.
  */
-const MAXIMUM_RANK_DELAY_MILLISECONDS = 3000;
+const MAXIMUM_RANK_DELAY_MILLISECONDS = 2400;
 
 interface ManagedPool {
   readonly lease: PoolLease;
