--- /dev/null
+++ b/src/entry/_fleet_state_exchange_options.ts
@@ -0,0 +1,47 @@
+import type {EndpointRouter, LeaseRenewal, ReplicaMap} from '../engines/mod.ts';
+import type {EndpointRegistry, FleetLoad, FleetTopology} from '../fleet/mod.ts';
+import type {FleetRateLimiter} from '../limits/mod.ts';
+import type {EventLogger} from '../observability/mod.ts';
+import type {PeerNetwork} from '../peers/mod.ts';
+import type {CrashTracker} from '../relay/mod.ts';
+import type {TableUpdate} from '../stores/mod.ts';
+import type {Clock} from '../time/mod.ts';
+
+/** Options of `FleetStateExchange`. */
+export interface FleetStateExchangeOptions {
+  peers: PeerNetwork;
+  clock: Clock;
+  logger: EventLogger;
+  topology: FleetTopology;
+  registry: EndpointRegistry;
+  load: FleetLoad;
+  rateLimiter: FleetRateLimiter;
+  replicas: ReplicaMap;
+  router: EndpointRouter;
+  crashTracker: CrashTracker;
+  /** Called when a peer reports waiting requests, which may be for a pool managed here. */
+  onDemandChanged: () => void;
+  /** Called when the manager of a pool announced replicas or renewed its lease. */
+  onManagerAnnounced: (
+    service: string,
+    renewal: LeaseRenewal | undefined,
+  ) => void;
+  /** Called when the manager of a pool resigned its lease. */
+  onManagerResigned: (
+    service: string,
+    epoch: number,
+    sinceOrder: number,
+  ) => void;
+  /**
+   * Called with the changes of a table that a peer has read.
+   *
+   * @returns Whether changes before them are missing here.
+   */
+  onTableUpdate: (update: TableUpdate) => boolean;
+  /** Returns the tables that this host has not read yet. */
+  missingTables: () => readonly string[];
+  /** Returns the whole content of a table; undefined if it is unknown. */
+  tableContent: (table: string) => TableUpdate | undefined;
+  /** Called when a peer has connected, which may lack the state of pools managed here. */
+  onPeerConnected: (hostId: string) => void;
+}
--- a/src/entry/fleet_state_exchange.ts
+++ b/src/entry/fleet_state_exchange.ts
@@ -1,65 +1,15 @@
-import type {EndpointRouter, LeaseRenewal, ReplicaMap} from '../engines/mod.ts';
 import {unreachable} from '../errors/mod.ts';
 import {
   type ArrivalCount,
-  type EndpointRegistry,
-  type FleetLoad,
-  type FleetTopology,
   type LoadReport,
   planForwarding,
 } from '../fleet/mod.ts';
-import type {FleetRateLimiter} from '../limits/mod.ts';
-import type {EventLogger} from '../observability/mod.ts';
-import type {
-  PeerIdentity,
-  PeerMessage,
-  PeerMessageOf,
-  PeerNetwork,
-} from '../peers/mod.ts';
-import type {CrashTracker} from '../relay/mod.ts';
+import type {PeerIdentity, PeerMessage, PeerMessageOf} from '../peers/mod.ts';
 import type {TableUpdate} from '../stores/mod.ts';
-import {type Clock, sleep} from '../time/mod.ts';
+import {sleep} from '../time/mod.ts';
+import type {FleetStateExchangeOptions} from './_fleet_state_exchange_options.ts';
 import {decodeTableUpdate, encodeTableUpdate} from './_table_message.ts';
 
-/** Options of {@link FleetStateExchange}. */
-export interface FleetStateExchangeOptions {
-  peers: PeerNetwork;
-  clock: Clock;
-  logger: EventLogger;
-  topology: FleetTopology;
-  registry: EndpointRegistry;
-  load: FleetLoad;
-  rateLimiter: FleetRateLimiter;
-  replicas: ReplicaMap;
-  router: EndpointRouter;
-  crashTracker: CrashTracker;
-  /** Called when a peer reports waiting requests, which may be for a pool managed here. */
-  onDemandChanged: () => void;
-  /** Called when the manager of a pool announced replicas or renewed its lease. */
-  onManagerAnnounced: (
-    service: string,
-    renewal: LeaseRenewal | undefined,
-  ) => void;
-  /** Called when the manager of a pool resigned its lease. */
-  onManagerResigned: (
-    service: string,
-    epoch: number,
-    sinceOrder: number,
-  ) => void;
-  /**
-   * Called with the changes of a table that a peer has read.
-   *
-   * @returns Whether changes before them are missing here.
-   */
-  onTableUpdate: (update: TableUpdate) => boolean;
-  /** Returns the tables that this host has not read yet. */
-  missingTables: () => readonly string[];
-  /** Returns the whole content of a table; undefined if it is unknown. */
-  tableContent: (table: string) => TableUpdate | undefined;
-  /** Called when a peer has connected, which may lack the state of pools managed here. */
-  onPeerConnected: (hostId: string) => void;
-}
-
 /** A message that is passed on to hosts without a connection to its sender. */
 type Announcement = PeerMessageOf<
   'table_update' | 'replica_state' | 'lease_resigned' | 'request_broke_endpoint'
@@ -266,6 +216,7 @@
     peers.sendToAll(others, message);
   }
 
+  /** Passes an announcement on to hosts without a connection to its sender. */
   private passOn(from: PeerIdentity, message: Announcement): void {
     const {load, peers, topology} = this.options;
     const forwarding = planForwarding({
