Do not lead peers past the first read of a reader

A reader that was killed right after a configuration came had it from its first read; its first update then claimed to follow version 0, so the others took the newer version without the row and never asked for it. Ruled out: the maximum ages (no host read again, since its copy counted as fresh). Change: what is published starts at the version of the first read.

--- a/src/stores/table_follower.ts
+++ b/src/stores/table_follower.ts
@@ -201,6 +201,7 @@
     this.readVersion = version;
     if (knownVersion === undefined) {
       this.version = version;
+      this.publishedVersion = version;
       this.freshAt = startedAt;
       this.replaceRows(rows);
       this.options.onSnapshot(rows, version);
--- a/src/stores/table_follower_test.ts
+++ b/src/stores/table_follower_test.ts
@@ -126,6 +126,29 @@
   return {clock, shared, faults, versions, maximumLag};
 }
 
+/** One reader that starts when the table has a row already. */
+function simulateRestart() {
+  const clock = new ManualClock();
+  const row: Row = {key: 'a', value: Buffer.of(1), version: 7};
+  const shared = {rows: [row], version: 7, calls: 0};
+  const updates: TableUpdate[] = [];
+  const follower = new TableFollower({
+    store: new SlowStore(clock, () => true, 0, shared),
+    table: 'servers',
+    clock,
+    logger: SILENT_LOGGER,
+    waitMilliseconds: 0,
+    pauseMilliseconds: () => 100,
+    maximumAgeMilliseconds: () => 0,
+    publish: update => updates.push(update),
+    onSnapshot: () => undefined,
+    onChanges: () => undefined,
+  });
+  followers = [follower];
+  void follower.run();
+  return {clock, shared, deliver: () => updates};
+}
+
 describe('TableFollower', () => {
   // Guards against store calls that grow with the number of hosts.
   test.each([{hosts: 30}, {hosts: 300}])(
@@ -171,6 +194,15 @@
     expect(behind).toEqual([]);
   });
 
+  // On a played day the reader was killed right after a change. Restarted, it had the
+  // change from its first read, and its first update led the others past it.
+  test('the first update of a restarted reader does not skip its first read', async () => {
+    const {clock, shared, deliver} = simulateRestart();
+    await clock.advanceAsync(500);
+    const [first] = deliver();
+    expect(first?.afterVersion).toBe(shared.version);
+  });
+
   // A host that the store turns away must not stay behind for ever because it has
   // missed one update.
   test('a host without the store catches up by the content of a peer', async () => {
