Log each request that is open when a drain times out

drainTimedOut had only a number, so the logs could not tell requests that waited for an engine from requests whose stream outlasted the stop.

--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -77,8 +77,10 @@
         break;
       await sleep(clock, DRAIN_CHECK_MILLISECONDS);
     }
-    if (relay.openRequestCount > 0)
+    if (relay.openRequestCount > 0) {
       logger.event('drainTimedOut', {open: relay.openRequestCount});
+      relay.logOpenRequests();
+    }
     await Promise.race([
       registration.deregister(),
       sleep(clock, CLOSING_MILLISECONDS / 2),
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -1,4 +1,3 @@
-import type {ServerResponse} from 'node:http';
 import {
   REQUEST_ERROR_CODES,
   REQUEST_STEPS,
@@ -14,28 +13,14 @@
   type SendOutcome,
 } from '../exchange/mod.ts';
 import type {Endpoint} from '../fleet/mod.ts';
+import type {AttemptContext} from './_attempt_context.ts';
 import {bufferResponse} from './_buffer_response.ts';
 import {EventSplitter} from './_event_splitter.ts';
-import type {RequestLog} from './_request_log.ts';
 import {streamResponse} from './_stream_response.ts';
-import {type RoutedRequest, targetOf} from './endpoint_source.ts';
+import {targetOf} from './endpoint_source.ts';
 import type {RequestRelayOptions} from './relay_options.ts';
 import {connectionHeader} from './request_relay.ts';
 
-/** An admitted request and the response to write to. */
-export interface AttemptContext {
-  readonly request: RoutedRequest;
-  readonly method: string;
-  readonly path: string;
-  readonly rawHeaders: readonly string[];
-  readonly body: Buffer;
-  readonly fingerprint: string;
-  readonly response: ServerResponse;
-  /** Aborted when the caller disconnects. */
-  readonly callerLeft: AbortSignal;
-  readonly log: RequestLog;
-}
-
 /** Connect time-out; the network latency to endpoints is a few milliseconds. */
 const CONNECT_TIMEOUT_MILLISECONDS = 500;
 
@@ -107,6 +92,7 @@
     const {request, callerLeft, log} = this.context;
     const {clock, endpoints} = this.options;
     for (;;) {
+      log.step = REQUEST_STEPS.place;
       const waitStartedAt = clock.monotonicMilliseconds();
       const acquired = await endpoints.acquire(
         request,
@@ -163,6 +149,7 @@
     const target = targetOf(this.context.request.metadata);
     this.dispatchCount++;
     this.context.log.recordDispatch(endpoint);
+    this.context.log.step = REQUEST_STEPS.dispatch;
     endpoint.begin(target);
     try {
       const outcome = await this.sendAndHandleResponse(endpoint);
@@ -244,6 +231,7 @@
     const {wireFormat, endpoints} = this.options;
     const {request, log} = this.context;
     const {message, status} = endpointResponse;
+    log.step = REQUEST_STEPS.relay;
     if (wireFormat.isNotRun(message, request.metadata.requestId)) {
       discardResponse(endpointResponse);
       endpoint.condition.recordAnswer(false);
--- a/src/relay/_request_log.ts
+++ b/src/relay/_request_log.ts
@@ -1,5 +1,5 @@
 import type {RequestError} from '../errors/mod.ts';
-import {RUN_STATES} from '../errors/mod.ts';
+import {REQUEST_STEPS, type RequestStep, RUN_STATES} from '../errors/mod.ts';
 import type {Endpoint} from '../fleet/mod.ts';
 import type {EventFields} from '../observability/mod.ts';
 import type {RequestRelayOptions} from './relay_options.ts';
@@ -17,6 +17,8 @@
   /** Total time spent waiting for an endpoint. */
   waitedMilliseconds = 0;
   attempts = 0;
+  /** Step that the request has reached. */
+  step: RequestStep = REQUEST_STEPS.parse;
   private endpoint: Endpoint | undefined;
   private isEnded = false;
 
@@ -87,6 +89,15 @@
     this.options.logger.event('callerLeft', this.fields());
   }
 
+  /** Logs a request that is still open when its host stops. */
+  stillOpen(): void {
+    this.options.logger.event('requestOpenAtStop', {
+      ...this.fields(),
+      step: this.step,
+      isEnded: this.isEnded,
+    });
+  }
+
   private end(outcome: string): void {
     this.isEnded = true;
     const labels = {outcome, service: this.service};
--- a/src/relay/request_relay.ts
+++ b/src/relay/request_relay.ts
@@ -27,13 +27,19 @@
  * endpoint, forwards the request and decides on retries. Bodies are opaque.
  */
 export class RequestRelay {
-  private openRequests = 0;
+  /** Logs of the requests in flight. */
+  private readonly openRequests = new Set<RequestLog>();
 
   constructor(private readonly options: RequestRelayOptions) {}
 
   /** Number of requests in flight. */
   get openRequestCount(): number {
-    return this.openRequests;
+    return this.openRequests.size;
+  }
+
+  /** Logs each request in flight, with the step that it has reached. */
+  logOpenRequests(): void {
+    for (const log of this.openRequests) log.stillOpen();
   }
 
   /** Handles one request up to its response. */
@@ -41,10 +47,10 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    this.openRequests++;
     const arrivedAt = this.options.clock.monotonicMilliseconds();
     const metadata = this.options.wireFormat.readMetadata(request.headers);
     const log = new RequestLog(this.options, metadata, arrivedAt);
+    this.openRequests.add(log);
     const callerAbort = new AbortController();
     response.once('close', () => {
       if (!response.writableFinished) callerAbort.abort();
@@ -67,7 +73,7 @@
       response.destroy();
     } finally {
       if (callerAbort.signal.aborted) log.callerLeft();
-      this.openRequests--;
+      this.openRequests.delete(log);
     }
   }
 
@@ -100,6 +106,7 @@
         `The body exceeds ${index.configuration.limits.bodyBytes} bytes`,
       );
     }
+    log.step = REQUEST_STEPS.admit;
     // The configuration may have changed while the body was read.
     const current = this.options.routes() ?? index;
     log.configurationVersion = current.configuration.version;
