--- /dev/null
+++ b/src/entry/planned_stop_test.ts
@@ -0,0 +1,56 @@
+import {afterEach, beforeEach, describe, expect, test} from 'vitest';
+import {EntryFleet} from '../testing/entry_fleet.ts';
+import {send} from '../testing/platform_caller.ts';
+import type {PlatformEndpointStandIn} from '../testing/platform_endpoint_stand_in.ts';
+
+/** Less than a caller waits for the first event of a stream. */
+const GRACE_SECONDS = 2;
+
+let fleet: EntryFleet;
+let engine: PlatformEndpointStandIn;
+
+beforeEach(async () => {
+  fleet = await EntryFleet.start();
+  engine = await fleet.startEndpoint({
+    id: 'engine-1',
+    service: 'engines',
+    models: ['model-a'],
+    loadMilliseconds: 60_000,
+  });
+});
+
+afterEach(() => fleet.stop());
+
+describe('a planned stop', () => {
+  // Guards against connections that are closed without a response: requests that
+  // waited for a model outlasted the grace period of their host.
+  test.each([
+    {name: 'when the stop begins', arrivesDuringStop: false},
+    {name: 'and arrives during the stop', arrivesDuringStop: true},
+  ])(
+    'refuses a request that waits for a model $name',
+    async ({arrivesDuringStop}) => {
+      const {host, callerPort} = await fleet.startHost('host-1', {
+        graceSeconds: GRACE_SECONDS,
+      });
+      const sendWaiting = () =>
+        send(callerPort, {
+          method: 'POST',
+          path: '/chat/x',
+          headers: {Model: 'model-c'},
+          body: 'opaque',
+        });
+      let waiting = arrivesDuringStop ? undefined : sendWaiting();
+      if (waiting !== undefined)
+        await fleet.waitForLines('host-1', 'loadDecided', 1);
+      const stopped = host.drain();
+      waiting ??= sendWaiting();
+      const response = await waiting;
+      expect(response.status).toBe(503);
+      expect(response.headers['retry-after']).toBeDefined();
+      expect(response.headers['connection']).toBe('close');
+      expect(engine.ran.length).toBe(0);
+      await stopped;
+    },
+  );
+});
