End waits for models before a stopping host runs out of time

What callers saw: after SIGTERM, requests that waited for a model got neither a response nor a refusal; their connections were closed 7.3 s later (LOST). Cause: the wait was bounded by the caller's patience alone (7.36 s for night-label), and drain only refused new requests after 45% of the grace period. Requests that were already waiting went on waiting to the end, or were sent to an engine so late that their stream could not finish. Fix: the router knows the time after which the host sends no request to an endpoint. It bounds every wait, wakes those that wait when the stop begins, refuses those at once whose model is known to be ready later, and the rest at that time: not executed, Retry-After 50 ms, so that the caller goes to another host with time left.

--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -47,6 +47,9 @@
  */
 const REFUSED_DEMAND_LIFETIME_MILLISECONDS = 2500;
 
+/** Retry-After of a stopping host; the retry goes to another host. */
+const STOPPING_RETRY_AFTER_MILLISECONDS = 50;
+
 /** Share of the time left to a caller after which it retries at the latest. */
 const RETURN_SHARE = 1 / 3;
 
@@ -70,15 +73,12 @@
   private readonly waiters = new Map<string, Set<Waiter>>();
   private readonly refused = new Map<string, RefusedDemand>();
   private readonly arrivals = new Map<string, ArrivalCount>();
+  /** Monotonic time after which no request waits for a load. */
+  private waitsEndAt = Number.POSITIVE_INFINITY;
 
   constructor(private readonly options: EndpointRouterOptions) {
-    const wakeAll = () => {
-      for (const waiters of this.waiters.values()) {
-        for (const waiter of waiters) waiter.wake();
-      }
-    };
-    options.registry.onChange(wakeAll);
-    options.replicas.onChange(wakeAll);
+    options.registry.onChange(() => this.wakeAll());
+    options.replicas.onChange(() => this.wakeAll());
   }
 
   async acquire(
@@ -124,6 +124,18 @@
     }
   }
 
+  /**
+   * Ends all waits for loads at a time, since the host stops and could not finish
+   * the requests. Requests whose model is known to be ready only later are refused
+   * at once, so that their callers go to another host while they have time left.
+   *
+   * @param at Monotonic time.
+   */
+  endWaitsAt(at: number): void {
+    this.waitsEndAt = at;
+    this.wakeAll();
+  }
+
   noteRefused(request: RoutedRequest, endpoint: Endpoint): void {
     this.options.replicas.recordRefusal(endpoint, targetOf(request.metadata));
   }
@@ -178,6 +190,12 @@
     return [...this.arrivals.values()];
   }
 
+  private wakeAll(): void {
+    for (const waiters of this.waiters.values()) {
+      for (const waiter of waiters) waiter.wake();
+    }
+  }
+
   private countArrival(service: string, model: string): void {
     const key = `${service} ${model}`;
     const requests = (this.arrivals.get(key)?.requests ?? 0) + 1;
@@ -201,8 +219,8 @@
   }
 
   /**
-   * Refuses a request whose model cannot be loaded before its caller times out:
-   * at once if the manager of the pool already knows it.
+   * Refuses a request whose model cannot be loaded before its caller times out or
+   * this host stops: at once if the manager of the pool already knows it.
    */
   private refuseIfTooLate(
     request: RoutedRequest,
@@ -218,6 +236,13 @@
       replicas.remoteReadyAt(service, model) ??
       now;
     if (now < deadline && readyAt < deadline) return undefined;
+    if (deadline === this.waitsEndAt) {
+      return refusal(
+        REQUEST_ERROR_CODES.draining,
+        `This host stops before "${target}" is loaded`,
+        STOPPING_RETRY_AFTER_MILLISECONDS,
+      );
+    }
     const retryAfter = Math.max(RETRY_AFTER_MILLISECONDS, readyAt - now);
     this.refused.set(`${service} ${target}`, {
       request,
@@ -239,6 +264,7 @@
     return Math.min(
       request.deadlineAt,
       request.arrivedAt + callerTimeout * MAXIMUM_WAIT_SHARE,
+      this.waitsEndAt,
     );
   }
 
--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -1,4 +1,5 @@
 import type {Container} from 'inversify';
+import {EndpointRouter} from '../engines/mod.ts';
 import {
   EndpointRegistry,
   FleetShares,
@@ -23,8 +24,11 @@
 /** Part of the grace period that is reserved for closing down. */
 const CLOSING_MILLISECONDS = 700;
 
-/** Fraction of the grace period after which new requests are refused. */
-const REFUSAL_FRACTION = 0.45;
+/**
+ * Fraction of the grace period in which requests are still sent to endpoints. The
+ * rest is left for them to finish.
+ */
+const DISPATCH_FRACTION = 0.45;
 
 /** Interval at which lost connections of active hosts are checked. */
 const TOPOLOGY_INTERVAL_MILLISECONDS = 500;
@@ -66,13 +70,17 @@
     state.isDraining = true;
     logger.event('hostDraining', {open: relay.openRequestCount, grace});
     const registration = this.container.get(HostRegistration);
+    const dispatchMilliseconds = grace * DISPATCH_FRACTION;
+    this.container
+      .get(EndpointRouter)
+      .endWaitsAt(startedAt + dispatchMilliseconds);
     void registration.register();
     this.container.get(FleetStateExchange).report();
     void this.container.get(PoolSupervisor).stop();
     const staleAddressMilliseconds =
       settings.addressLifetimeMilliseconds * STALE_ADDRESS_FACTOR;
     while (elapsed() < grace - CLOSING_MILLISECONDS) {
-      state.refusesNewRequests = elapsed() > grace * REFUSAL_FRACTION;
+      state.refusesNewRequests = elapsed() > dispatchMilliseconds;
       if (elapsed() > staleAddressMilliseconds && relay.openRequestCount === 0)
         break;
       await sleep(clock, DRAIN_CHECK_MILLISECONDS);
