Close connections of callers that are answered during a drain

What callers saw: a response without "Connection: close" from a host that stops, and later a connection closed under their next request. Cause: the header was set when the request arrived, so requests that arrived before the signal kept their connections. Evidence: planned_stop_test, case "when the stop begins": expected 'close', received 'keep-alive'.

--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -344,7 +344,7 @@
     const {response} = this.context;
     response.useChunkedEncodingByDefault = endpointResponse.isFramed;
     response.writeHead(endpointResponse.status, [
-      ...connectionHeader(response),
+      ...connectionHeader(this.options),
       ...this.options.wireFormat.responseHeaders(endpointResponse.message),
       ...(endpointResponse.isFramed && bodyBytes !== undefined
         ? ['Content-Length', String(bodyBytes)]
--- a/src/relay/request_relay.ts
+++ b/src/relay/request_relay.ts
@@ -55,7 +55,6 @@
     response.once('close', () => {
       if (!response.writableFinished) callerAbort.abort();
     });
-    if (this.options.isDraining()) response.setHeader('Connection', 'close');
     try {
       const error = await this.serve(request, response, {
         arrivedAt,
@@ -221,7 +220,7 @@
       return;
     }
     response.writeHead(head.status, [
-      ...connectionHeader(response),
+      ...connectionHeader(this.options),
       ...head.headers,
     ]);
     response.end();
@@ -236,12 +235,14 @@
 }
 
 /**
- * Returns a Connection header that was set on the response earlier, so that it
- * is kept when the head is written from raw headers.
+ * Returns a Connection header that closes the connection of a draining host. It is
+ * decided when the head is written, since the drain may begin after the request
+ * has arrived.
  */
-export function connectionHeader(response: ServerResponse): string[] {
-  const value = response.getHeader('Connection');
-  return typeof value === 'string' ? ['Connection', value] : [];
+export function connectionHeader({
+  isDraining,
+}: Pick<RequestRelayOptions, 'isDraining'>): string[] {
+  return isDraining() ? ['Connection', 'close'] : [];
 }
 
 function notRunError(
