Refuse new requests once no caller should know a stopping host's address

What callers saw: streams that a host had accepted 3.0 to 3.6 s after SIGTERM were cut in the middle at the end of its grace period (LOST, "taken long after SIGTERM and given up"). Cause: the host accepted new requests for 45% of its grace period, although the cached addresses of all callers expire after 3 s. Fix: requests are sent to endpoints until the addresses have expired, at most for 45% of the grace period; the limit is a time and no longer depends on the 100 ms between two checks.

--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -247,7 +247,9 @@
         }),
         crashGuard: container.get(CrashTracker),
         isDraining: () => container.get(EntryState).isDraining,
-        refusesNewRequests: () => container.get(EntryState).refusesNewRequests,
+        refusesNewRequests: () =>
+          clock.monotonicMilliseconds() >=
+          container.get(EntryState).dispatchEndsAt,
         random: Math.random,
       }),
   );
--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -25,8 +25,8 @@
 const CLOSING_MILLISECONDS = 700;
 
 /**
- * Fraction of the grace period in which requests are still sent to endpoints. The
- * rest is left for them to finish.
+ * Maximum fraction of the grace period in which requests are still sent to
+ * endpoints. The rest is left for them to finish.
  */
 const DISPATCH_FRACTION = 0.45;
 
@@ -70,17 +70,18 @@
     state.isDraining = true;
     logger.event('hostDraining', {open: relay.openRequestCount, grace});
     const registration = this.container.get(HostRegistration);
-    const dispatchMilliseconds = grace * DISPATCH_FRACTION;
-    this.container
-      .get(EndpointRouter)
-      .endWaitsAt(startedAt + dispatchMilliseconds);
+    const staleAddressMilliseconds =
+      settings.addressLifetimeMilliseconds * STALE_ADDRESS_FACTOR;
+    const dispatchMilliseconds = Math.min(
+      grace * DISPATCH_FRACTION,
+      staleAddressMilliseconds,
+    );
+    state.dispatchEndsAt = startedAt + dispatchMilliseconds;
+    this.container.get(EndpointRouter).endWaitsAt(state.dispatchEndsAt);
     void registration.register();
     this.container.get(FleetStateExchange).report();
     void this.container.get(PoolSupervisor).stop();
-    const staleAddressMilliseconds =
-      settings.addressLifetimeMilliseconds * STALE_ADDRESS_FACTOR;
     while (elapsed() < grace - CLOSING_MILLISECONDS) {
-      state.refusesNewRequests = elapsed() > dispatchMilliseconds;
       if (elapsed() > staleAddressMilliseconds && relay.openRequestCount === 0)
         break;
       await sleep(clock, DRAIN_CHECK_MILLISECONDS);
--- a/src/entry/planned_stop_test.ts
+++ b/src/entry/planned_stop_test.ts
@@ -6,6 +6,9 @@
 /** Less than a caller waits for the first event of a stream. */
 const GRACE_SECONDS = 2;
 
+/** More than three lifetimes of an address, and one check of the drain. */
+const ADDRESSES_EXPIRED_MS = 500;
+
 let fleet: EntryFleet;
 let engine: PlatformEndpointStandIn;
 
@@ -53,4 +56,29 @@
       await stopped;
     },
   );
+
+  // Guards against streams that are cut because a stopping host accepted them late:
+  // it went on accepting after the cached addresses of all callers had expired.
+  test('refuses a request once no caller should know its address', async () => {
+    const {host, callerPort} = await fleet.startHost('host-1', {
+      graceSeconds: 8,
+      addressLifetimeMilliseconds: 20,
+    });
+    const sendChat = () =>
+      send(callerPort, {
+        method: 'POST',
+        path: '/chat/x',
+        headers: {Model: 'model-a'},
+        body: 'opaque',
+      });
+    engine.trouble = 'hangs';
+    const running = sendChat();
+    await expect.poll(() => engine.ran.length).toBe(1);
+    const stopped = host.drain();
+    await new Promise(resolve => setTimeout(resolve, ADDRESSES_EXPIRED_MS));
+    expect((await sendChat()).status).toBe(503);
+    expect(engine.ran.length).toBe(1);
+    await running;
+    await stopped;
+  });
 });
