Keep the handover delay when the lease is passed on within it

What callers saw: nothing directly. Under planned work, when hosts stop in turn, engines could get orders of two hosts closer together than the platform allows (the property ONE).

Cause: a resigning holder reported the time since its own last order. One that stopped before its handover delay had passed had sent none, so it reported "never", and its successor did not wait for the rest of the delay after the order of the holder before. A host that restarted continued its own term without delay, since it released the row as if the delay had passed.

Evidence: the new test failed before, for all three cases: expected 1300 to be greater than or equal to 3000 (releases the lease) expected 2250 to be greater than or equal to 3000 (loses the store) expected 750 to be greater than or equal to 3000 (releases and restarts)

Why this works: a holder keeps the latest time at which a previous holder can have sent an order and reports the later of that and its own last order; the released row says whether the delay had passed.

--- a/src/engines/pool_lease.ts
+++ b/src/engines/pool_lease.ts
@@ -60,6 +60,14 @@
 /** Pause after a failed attempt to acquire the lease. */
 const LOST_RACE_PAUSE_MILLISECONDS = 600;
 
+interface HeldLease {
+  readonly epoch: number;
+  readonly version: number;
+  readonly ordersAllowedFrom: number;
+  /** Latest time at which a previous holder can have sent an order. */
+  readonly previousOrderAt: number;
+}
+
 interface Observation {
   readonly version: number;
   /** Monotonic time since which the row is known to be unchanged. */
@@ -86,8 +94,7 @@
  */
 export class PoolLease {
   private readonly stopping = new AbortController();
-  private held:
-    {epoch: number; version: number; ordersAllowedFrom: number} | undefined;
+  private held: HeldLease | undefined;
   private renewedAt = Number.NEGATIVE_INFINITY;
   private renewedWallTime = 0;
   private observedRow: Observation | undefined;
@@ -196,17 +203,22 @@
     this.held = undefined;
     if (held === undefined) return;
     this.options.logger.event('leaseReleased', this.fields(held.epoch));
-    this.options.onResigned?.(held.epoch, this.sinceLastOrder());
+    const now = this.options.clock.monotonicMilliseconds();
+    this.options.onResigned?.(held.epoch, this.sinceLastOrder(held));
     await this.write(held.epoch, held.version, {
       released: true,
-      active: true,
+      active: now >= held.ordersAllowedFrom,
     });
   }
 
-  /** Milliseconds since the last order; negative while one may still arrive. */
-  private sinceLastOrder(): number {
+  /**
+   * Milliseconds since the last order, of a previous holder if this one has sent
+   * none; negative while one may still arrive.
+   */
+  private sinceLastOrder({previousOrderAt}: HeldLease): number {
     if (this.ordersInFlight > 0) return -ORDER_TIMEOUT_MILLISECONDS;
-    return this.options.clock.monotonicMilliseconds() - this.lastOrderAt;
+    const now = this.options.clock.monotonicMilliseconds();
+    return now - Math.max(this.lastOrderAt, previousOrderAt);
   }
 
   private sinceRenewal(): number {
@@ -238,7 +250,7 @@
       case 'failed':
         this.unansweredRenewal ??= {startedAt, startedWallTime};
         if (this.isHeld()) return RENEWAL_RETRY_MILLISECONDS;
-        this.resign(held.epoch, 'no renewal succeeded in time');
+        this.resign(held, 'no renewal succeeded in time');
         return RENEWAL_MILLISECONDS;
       case 'conflict':
         return this.handleConflict(held, outcome.row);
@@ -253,7 +265,7 @@
    * lost.
    */
   private handleConflict(
-    held: {epoch: number; ordersAllowedFrom: number},
+    held: HeldLease,
     row: {content: LeaseContent; version: number} | undefined,
   ): number {
     if (row?.content.incarnation !== this.options.incarnation) {
@@ -273,11 +285,11 @@
     return 0;
   }
 
-  private resign(epoch: number, reason: string): void {
+  private resign(held: HeldLease, reason: string): void {
     const {logger, onResigned} = this.options;
     this.held = undefined;
-    logger.event('leaseLost', {...this.fields(epoch), reason});
-    onResigned?.(epoch, this.sinceLastOrder());
+    logger.event('leaseLost', {...this.fields(held.epoch), reason});
+    onResigned?.(held.epoch, this.sinceLastOrder(held));
   }
 
   private async tryAcquire(): Promise<void> {
@@ -338,7 +350,7 @@
       await sleep(clock, LOST_RACE_PAUSE_MILLISECONDS, this.stopping.signal);
       return;
     }
-    const lastOrderBefore = this.latestOrderTime(
+    const previousOrderAt = this.latestOrderTime(
       previous,
       startedAt,
       unchangedSince,
@@ -348,7 +360,8 @@
       version: outcome.version,
       ordersAllowedFrom: isOwnTerm
         ? startedAt
-        : lastOrderBefore + handoverDelayMilliseconds,
+        : previousOrderAt + handoverDelayMilliseconds,
+      previousOrderAt,
     };
     this.renewedAt = startedAt;
     this.renewedWallTime = startedWallTime;
@@ -369,10 +382,11 @@
     startedAt: number,
     unchangedSince: number,
   ): number {
-    if (this.resignation?.epoch === previous?.epoch) {
-      return this.resignation?.lastOrderAt ?? startedAt;
+    if (previous === undefined) return Number.NEGATIVE_INFINITY;
+    if (this.resignation?.epoch === previous.epoch) {
+      return this.resignation.lastOrderAt;
     }
-    if (previous?.released === true) return startedAt;
+    if (previous.released) return startedAt;
     // The previous holder may send orders for the validity period after its
     // last renewal, which happened no later than the first sight of the row
     // version.
--- a/src/engines/pool_lease_test.ts
+++ b/src/engines/pool_lease_test.ts
@@ -55,6 +55,8 @@
   clock: ManualClock;
   store: MemoryRowStore;
   leases: PoolLease[];
+  /** Whether resignations reach the other hosts. */
+  deliversResignations: boolean;
 }
 
 const running: PoolLease[] = [];
@@ -65,7 +67,7 @@
   incarnation: string,
   hasHeardFromHolder: () => boolean = () => false,
 ): PoolLease {
-  const lease = new PoolLease({
+  const lease: PoolLease = new PoolLease({
     store: fixture.store.for(hostId),
     clock: fixture.clock,
     logger: SILENT_LOGGER,
@@ -75,6 +77,12 @@
     handoverDelayMilliseconds: HANDOVER_DELAY_MILLISECONDS,
     hasHeardFromHolder,
     random: () => 0,
+    onResigned: (epoch, sinceOrder) => {
+      if (!fixture.deliversResignations) return;
+      for (const other of fixture.leases) {
+        if (other !== lease) other.receiveResignation(epoch, sinceOrder);
+      }
+    },
   });
   void lease.run();
   fixture.leases.push(lease);
@@ -83,7 +91,12 @@
 }
 
 function createFixture(): Fixture {
-  return {clock: new ManualClock(), store: new MemoryRowStore(), leases: []};
+  return {
+    clock: new ManualClock(),
+    store: new MemoryRowStore(),
+    leases: [],
+    deliversResignations: false,
+  };
 }
 
 afterEach(async () => {
@@ -139,6 +152,40 @@
     },
   );
 
+  // Guards against orders of two hosts within less than the handover delay (the
+  // property ONE): hosts that stop in turn pass the lease on before the delay ends.
+  test.each([
+    {name: 'releases the lease', cut: false, restarts: false},
+    {name: 'loses the store', cut: true, restarts: false},
+    {name: 'releases the lease and restarts', cut: false, restarts: true},
+  ])(
+    'the handover delay lasts when a holder $name within it',
+    async ({cut, restarts}) => {
+      const fixture = createFixture();
+      fixture.deliversResignations = true;
+      const first = start(fixture, 'host-1', 'a');
+      const second = start(fixture, 'host-2', 'b');
+      await fixture.clock.advanceAsync(1000);
+      first.beginOrder();
+      first.endOrder();
+      const orderedAt = fixture.clock.monotonicMilliseconds();
+      await first.release();
+      await fixture.clock.advanceAsync(700);
+      expect(second.epoch).toBe(2);
+      if (!restarts) start(fixture, 'host-3', 'c');
+      if (cut) fixture.store.unreachable.add('host-2');
+      else await second.release();
+      if (restarts) start(fixture, 'host-2', 'c');
+      if (cut) await observe(fixture, 1500);
+      const acting = await observe(fixture, 8000);
+      const firstOfThird = acting.find(({holder}) => holder === 2)?.at;
+      expect(firstOfThird).toBeDefined();
+      expect((firstOfThird ?? 0) - orderedAt).toBeGreaterThanOrEqual(
+        HANDOVER_DELAY_MILLISECONDS,
+      );
+    },
+  );
+
   // On the recorded day of Kaplama, no orders were sent for 5.7 s after the
   // holder stalled, because its successor started observing the row only then.
   test('a successor that received the last renewal skips observing the row', async () => {
