Release the lease also while one of its writes is unanswered

What callers saw: under planned work, requests for models that are not loaded waited up to 1.8 s longer, since no host gave orders to the pool until the row of the stopped holder had expired.

Cause: a holder that stops writes the row with the version that it knows. A renewal under way at that time was stored first, so that this write conflicted and was dropped; an acquisition under way made a stopped host the holder, which never renewed or released the lease.

Evidence: the new test failed before: a renewal: expected undefined to be 2 (no successor) an acquisition: expected true to be false (the stopped host held the lease)

Why this works: after a conflict with a row of its own the holder releases the newer version, and an acquisition that ends after the stop releases at once. A write whose outcome stays unknown still leaves the row to expire.

Measured: src/engines/pool_lease_test.ts 12 of 12, npm test 665 passed.

--- a/src/engines/pool_lease.ts
+++ b/src/engines/pool_lease.ts
@@ -205,10 +205,14 @@
     this.options.logger.event('leaseReleased', this.fields(held.epoch));
     const now = this.options.clock.monotonicMilliseconds();
     this.options.onResigned?.(held.epoch, this.sinceLastOrder(held));
-    await this.write(held.epoch, held.version, {
-      released: true,
-      active: now >= held.ordersAllowedFrom,
-    });
+    const mark = {released: true, active: now >= held.ordersAllowedFrom};
+    const outcome = await this.write(held.epoch, held.version, mark);
+    // A renewal that was under way may have been stored first.
+    if (outcome.kind !== 'conflict') return;
+    const {row} = outcome;
+    if (row?.content.incarnation === this.options.incarnation) {
+      await this.write(held.epoch, row.version, mark);
+    }
   }
 
   /**
@@ -264,10 +268,7 @@
    * this process with an unknown outcome wrote the row; otherwise the lease is
    * lost.
    */
-  private handleConflict(
-    held: HeldLease,
-    row: {content: LeaseContent; version: number} | undefined,
-  ): number {
+  private handleConflict(held: HeldLease, row: LeaseRow | undefined): number {
     if (row?.content.incarnation !== this.options.incarnation) {
       this.options.logger.event('leaseLost', {
         ...this.fields(held.epoch),
@@ -365,6 +366,10 @@
     };
     this.renewedAt = startedAt;
     this.renewedWallTime = startedWallTime;
+    if (this.stopping.signal.aborted) {
+      await this.release();
+      return;
+    }
     this.options.onAcquired?.();
     logger.event('leaseAcquired', {
       ...this.fields(epoch),
@@ -439,11 +444,12 @@
   }
 }
 
+interface LeaseRow {
+  readonly content: LeaseContent;
+  readonly version: number;
+}
+
 type WriteOutcome =
   | {readonly kind: 'committed'; readonly version: number}
-  | {
-      readonly kind: 'conflict';
-      readonly row:
-        {readonly content: LeaseContent; readonly version: number} | undefined;
-    }
+  | {readonly kind: 'conflict'; readonly row: LeaseRow | undefined}
   | {readonly kind: 'failed'};
--- a/src/engines/pool_lease_test.ts
+++ b/src/engines/pool_lease_test.ts
@@ -12,6 +12,8 @@
   readonly unreachable = new Set<string>();
   /** Number of attempted commits, including refused ones. */
   commits = 0;
+  /** Holds back the outcome of commits; resolved by the test. */
+  commitDelay: Promise<void> | undefined;
   private row: Row | undefined;
 
   for(hostId: string): RowStore {
@@ -34,7 +36,10 @@
       followTable: async () => unavailable,
       commit: async changes => {
         this.commits++;
-        return isUnreachable() ? unavailable : this.commit(changes);
+        if (isUnreachable()) return unavailable;
+        const outcome = this.commit(changes);
+        await this.commitDelay;
+        return outcome;
       },
     };
   }
@@ -152,6 +157,33 @@
     },
   );
 
+  // Guards against a pool without a manager until the lease expires: the holder
+  // stopped while a write of its lease was unanswered.
+  test.each([
+    {name: 'a renewal', acquires: false},
+    {name: 'an acquisition', acquires: true},
+  ])('a stop during $name leaves the lease released', async ({acquires}) => {
+    const fixture = createFixture();
+    const lease = start(fixture, 'host-1', 'a');
+    if (!acquires) await fixture.clock.advanceAsync(450);
+    const commits = fixture.store.commits;
+    let finishCommit: () => void = () => undefined;
+    fixture.store.commitDelay = new Promise(resolve => {
+      finishCommit = resolve;
+    });
+    await fixture.clock.advanceAsync(100);
+    expect(fixture.store.commits).toBe(commits + 1);
+    const released = lease.release();
+    fixture.store.commitDelay = undefined;
+    finishCommit();
+    await released;
+    await fixture.clock.advanceAsync(0);
+    expect(lease.isHeld()).toBe(false);
+    const successor = start(fixture, 'host-2', 'b');
+    await fixture.clock.advanceAsync(50);
+    expect(successor.epoch).toBe(2);
+  });
+
   // Guards against orders of two hosts within less than the handover delay (the
   // property ONE): hosts that stop in turn pass the lease on before the delay ends.
   test.each([
