Keep the requests of an endpoint whose successor registers

What callers saw: a request that an endpoint was working on ended with 502 as soon as the row of a new process under the same id was read, as in a planned replacement; requests that run once at most could not be sent again.

Cause: the registry destroyed the connections to the former process, also those with a request.

Evidence: the new test failed before, for both cases: expected { kind: 'unknown', …(2) } to match object { kind: 'answer', status: 200 }

Why this works: only idle connections are closed; the others are closed after their response. A process that has ended breaks its connections itself.

--- a/src/fleet/endpoint_registry.ts
+++ b/src/fleet/endpoint_registry.ts
@@ -101,7 +101,8 @@
       if (record.rowVersion <= known.record.rowVersion) return;
       known.record = record;
     } else {
-      known?.agent.destroy();
+      // The former process may still work on its requests.
+      known?.agent.retire();
       this.endpoints.set(
         record.id,
         new Endpoint(record, this.options.maximumConnections(record.service)),
