Announce nothing after a pool manager has stopped

What callers saw: under planned work, requests for models that are not loaded waited up to 1.2 s longer for the next manager of the pool.

Cause: a manager that had stopped with an order under way announced its engines once more when the order ended, and to each host that connected to it. Hosts take an announcement as a sign of a working manager and put off their attempts to acquire the lease, although it was released.

Why this works: stopping ends the manager's term, and outside a term there is no state to announce.

--- a/src/engines/pool_manager.ts
+++ b/src/engines/pool_manager.ts
@@ -138,9 +138,10 @@
     }
   }
 
-  /** Stops the rounds, so that no more orders are planned. */
+  /** Stops the rounds, so that nothing more is ordered or announced. */
   stop(): void {
     this.stopping.abort();
+    this.endTerm();
     this.wake();
   }
 
