Refuse waiting requests whose model is no longer configured

Cause: the model was checked only once, against the configuration under which the request arrived. The manager loads only what the current one contains, so the wait was bounded by the time-out alone.

Evidence: the new test failed before, for both removals: expected undefined to match object { ok: false, error: { …(2) } }

Why this works: waiting requests wake when a configuration is applied, and one that no engine can run is checked against the current configuration before it waits. The refusal says that it was not run.

Measured: src/engines/removed_model_test.ts 3 of 3, npm test 672 passed.

--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -1,3 +1,4 @@
+import type {ServiceConfiguration} from '../deployment/mod.ts';
 import {
   failure,
   REQUEST_ERROR_CODES,
@@ -29,6 +30,8 @@
   replicas: ReplicaMap;
   clock: Clock;
   dataCentre: string;
+  /** Returns a service of the current configuration. */
+  service: (name: string) => ServiceConfiguration | undefined;
   /** Called when requests begin to wait for a target. */
   onDemandChanged: () => void;
 }
@@ -72,13 +75,15 @@
   private readonly arrivals = new Map<string, ArrivalCount>();
 
   constructor(private readonly options: EndpointRouterOptions) {
-    const wakeAll = () => {
-      for (const waiters of this.waiters.values()) {
-        for (const waiter of waiters) waiter.wake();
-      }
-    };
-    options.registry.onChange(wakeAll);
-    options.replicas.onChange(wakeAll);
+    options.registry.onChange(() => this.recheckWaiting());
+    options.replicas.onChange(() => this.recheckWaiting());
+  }
+
+  /** Makes waiting requests check whether they can be sent or still be served. */
+  recheckWaiting(): void {
+    for (const waiters of this.waiters.values()) {
+      for (const waiter of waiters) waiter.wake();
+    }
   }
 
   async acquire(
@@ -93,10 +98,7 @@
       const model = request.metadata.model ?? '';
       if (excluded.size === 0) this.countArrival(service.name, model);
       if (service.engines?.models.has(model) !== true) {
-        return refusal(
-          REQUEST_ERROR_CODES.modelNotFound,
-          `Service "${service.name}" has no model "${model}"`,
-        );
+        return modelNotFound(service.name, model);
       }
     }
     for (;;) {
@@ -112,7 +114,8 @@
           RETRY_AFTER_MILLISECONDS,
         );
       }
-      const refused = this.refuseIfTooLate(request, target);
+      const refused =
+        this.refuseIfRemoved(request) ?? this.refuseIfTooLate(request, target);
       if (refused !== undefined) return refused;
       await this.wait(request, target, signal);
       if (signal.aborted) {
@@ -200,6 +203,27 @@
     });
   }
 
+  /**
+   * Refuses a request for what the configuration has contained when it arrived
+   * but no longer does: no host loads its model any more.
+   */
+  private refuseIfRemoved({
+    service: {name},
+    metadata: {model = ''},
+  }: RoutedRequest): Result<Endpoint, RequestError> | undefined {
+    const service = this.options.service(name);
+    if (service === undefined) {
+      return refusal(
+        REQUEST_ERROR_CODES.noReplica,
+        `Service "${name}" is no longer configured`,
+        RETRY_AFTER_MILLISECONDS,
+      );
+    }
+    return service.engines?.models.has(model) === true
+      ? undefined
+      : modelNotFound(name, model);
+  }
+
   /**
    * Refuses a request whose model cannot be loaded before its caller times out:
    * at once if the manager of the pool already knows it.
@@ -282,6 +306,16 @@
   return readyAt <= arrivedAt + route.objectiveMilliseconds;
 }
 
+function modelNotFound(
+  service: string,
+  model: string,
+): Result<Endpoint, RequestError> {
+  return refusal(
+    REQUEST_ERROR_CODES.modelNotFound,
+    `Service "${service}" has no model "${model}"`,
+  );
+}
+
 function refusal(
   code: RequestErrorCode,
   message: string,
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -201,6 +201,10 @@
         replicas: container.get(ReplicaMap),
         clock,
         dataCentre: settings.dataCentre,
+        service: name =>
+          container
+            .get(ConfigurationSource)
+            .index?.configuration.services.get(name),
         onDemandChanged: () => {
           container.get(FleetStateExchange).reportSoon();
           container.get(PoolSupervisor).notify();
@@ -282,6 +286,7 @@
           container.get(EntryListeners).applyLimits(configuration.limits);
           container.get(FleetRateLimiter).configure(configuration.teams ?? []);
           container.get(PoolSupervisor).startPools();
+          container.get(EndpointRouter).recheckWaiting();
         },
       }),
   );
