--- a/src/testing/platform_endpoint_stand_in.ts
+++ b/src/testing/platform_endpoint_stand_in.ts
@@ -25,7 +25,7 @@
   | 'unsigned'
   /** Sends a second answer after the first. */
   | 'extra_answer'
-  /** Never answers. */
+  /** Answers only when told to. */
   | 'hangs'
   /** Ends the body without a length and with a reset. */
   | 'unframed_reset'
@@ -69,6 +69,7 @@
   private readonly held: Map<string, Set<string>>;
   private readonly born = Date.now();
   private readonly unanswered = new Set<ServerResponse>();
+  private readonly hanging: (() => void)[] = [];
   private accepted = 0;
   private busy = false;
   private readonly server: Server;
@@ -132,6 +133,11 @@
     });
   }
 
+  /** Answers the requests that hang. */
+  answerHanging(): void {
+    for (const answer of this.hanging.splice(0)) answer();
+  }
+
   /** Ends the process; its row stays until it lapses. */
   async stop(): Promise<void> {
     this.server.closeAllConnections();
@@ -216,6 +222,7 @@
     const whole = 'the whole answer';
     switch (trouble) {
       case 'hangs':
+        this.hanging.push(() => response.writeHead(200, own).end(whole));
         return;
       case 'loses_answer':
         request.socket.destroy();
