--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -1,3 +1,4 @@
+import type {ServiceConfiguration} from '../deployment/mod.ts';
 import {
   failure,
   REQUEST_ERROR_CODES,
@@ -29,6 +30,8 @@
   replicas: ReplicaMap;
   clock: Clock;
   dataCentre: string;
+  /** Returns a service of the current configuration. */
+  service: (name: string) => ServiceConfiguration | undefined;
   /** Called when requests begin to wait for a target. */
   onDemandChanged: () => void;
 }
@@ -77,8 +80,15 @@
   private waitsEndAt = Number.POSITIVE_INFINITY;
 
   constructor(private readonly options: EndpointRouterOptions) {
-    options.registry.onChange(() => this.wakeAll());
-    options.replicas.onChange(() => this.wakeAll());
+    options.registry.onChange(() => this.recheckWaiting());
+    options.replicas.onChange(() => this.recheckWaiting());
+  }
+
+  /** Makes waiting requests check whether they can be sent or still be served. */
+  recheckWaiting(): void {
+    for (const waiters of this.waiters.values()) {
+      for (const waiter of waiters) waiter.wake();
+    }
   }
 
   async acquire(
@@ -93,10 +103,7 @@
       const model = request.metadata.model ?? '';
       if (excluded.size === 0) this.countArrival(service.name, model);
       if (service.engines?.models.has(model) !== true) {
-        return refusal(
-          REQUEST_ERROR_CODES.modelNotFound,
-          `Service "${service.name}" has no model "${model}"`,
-        );
+        return modelNotFound(service.name, model);
       }
     }
     for (;;) {
@@ -112,7 +119,8 @@
           RETRY_AFTER_MILLISECONDS,
         );
       }
-      const refused = this.refuseIfTooLate(request, target);
+      const refused =
+        this.refuseIfRemoved(request) ?? this.refuseIfTooLate(request, target);
       if (refused !== undefined) return refused;
       await this.wait(request, target, signal);
       if (signal.aborted) {
@@ -133,7 +141,7 @@
    */
   endWaitsAt(at: number): void {
     this.waitsEndAt = at;
-    this.wakeAll();
+    this.recheckWaiting();
   }
 
   noteRefused(request: RoutedRequest, endpoint: Endpoint): void {
@@ -190,12 +198,6 @@
     return [...this.arrivals.values()];
   }
 
-  private wakeAll(): void {
-    for (const waiters of this.waiters.values()) {
-      for (const waiter of waiters) waiter.wake();
-    }
-  }
-
   private countArrival(service: string, model: string): void {
     const key = `${service} ${model}`;
     const requests = (this.arrivals.get(key)?.requests ?? 0) + 1;
@@ -218,6 +220,27 @@
     });
   }
 
+  /**
+   * Refuses a request for what the configuration has contained when it arrived
+   * but no longer does: no host loads its model any more.
+   */
+  private refuseIfRemoved({
+    service: {name},
+    metadata: {model = ''},
+  }: RoutedRequest): Result<Endpoint, RequestError> | undefined {
+    const service = this.options.service(name);
+    if (service === undefined) {
+      return refusal(
+        REQUEST_ERROR_CODES.noReplica,
+        `Service "${name}" is no longer configured`,
+        RETRY_AFTER_MILLISECONDS,
+      );
+    }
+    return service.engines?.models.has(model) === true
+      ? undefined
+      : modelNotFound(name, model);
+  }
+
   /**
    * Refuses a request whose model cannot be loaded before its caller times out or
    * this host stops: at once if the manager of the pool already knows it.
@@ -308,6 +331,16 @@
   return readyAt <= arrivedAt + route.objectiveMilliseconds;
 }
 
+function modelNotFound(
+  service: string,
+  model: string,
+): Result<Endpoint, RequestError> {
+  return refusal(
+    REQUEST_ERROR_CODES.modelNotFound,
+    `Service "${service}" has no model "${model}"`,
+  );
+}
+
 function refusal(
   code: RequestErrorCode,
   message: string,
