Revert "Keep the requests of an endpoint whose successor registers"

Under the platform's protocol a process that registers again under an id is a new start that holds and knows nothing of before: the former process has ended.

--- a/src/exchange/endpoint_agent.ts
+++ b/src/exchange/endpoint_agent.ts
@@ -17,7 +17,6 @@
  */
 export class EndpointAgent extends Agent {
   private readonly idleTimeoutMilliseconds: number;
-  private isRetired = false;
 
   constructor(options: EndpointAgentOptions) {
     super({
@@ -28,17 +27,8 @@
     this.idleTimeoutMilliseconds = options.idleTimeoutMilliseconds;
   }
 
-  /** Closes idle connections now and the others after their responses. */
-  retire(): void {
-    this.isRetired = true;
-    for (const sockets of Object.values(this.freeSockets)) {
-      for (const socket of [...(sockets ?? [])]) socket.destroy();
-    }
-  }
-
   /** Decides whether a connection is kept after a response; called by Node.js. */
   override keepSocketAlive(socket: Duplex): boolean {
-    if (this.isRetired) return false;
     // The type declarations omit the result: whether to keep the connection.
     const isKept: unknown = super.keepSocketAlive(socket);
     if (isKept !== true) return false;
--- a/src/fleet/endpoint_registry.ts
+++ b/src/fleet/endpoint_registry.ts
@@ -101,8 +101,7 @@
       if (record.rowVersion <= known.record.rowVersion) return;
       known.record = record;
     } else {
-      // The former process may still work on its requests.
-      known?.agent.retire();
+      known?.agent.destroy();
       this.endpoints.set(
         record.id,
         new Endpoint(record, this.options.maximumConnections(record.service)),
