Let a second SIGTERM wait for the drain under way

A host that got SIGTERM (or SIGINT) twice exited at once: callers with open requests saw their connections reset with neither an answer nor a refusal.

`EntryHost.drain` returned at once on a second call, and main.ts ends the process when the promise of any call resolves. Further calls now return the promise of the first, as `Host.drain` of the daemon already does.

The test fails on the code before, where the second call resolves while a request is open and `hostStopped` is not yet logged:

FAIL src/entry/entry_stop_test.ts > EntryHost.drain > a second call waits for the end of the drain

`npm run check` and `npm test` pass (670 passed, 1 passed over).

--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -37,7 +37,7 @@
 /** An entry host on a platform: forwards requests and manages engine pools. */
 export class EntryHost {
   private readonly container: Container;
-  private isStopping = false;
+  private drained: Promise<void> | undefined;
   private hasStopped = false;
   /** Share of the endpoints' connections for which limits are set. */
   private connectionShare: number | undefined;
@@ -53,10 +53,16 @@
     return host;
   }
 
-  /** Drains the host: finishes open requests within the grace period and stops. */
-  async drain(): Promise<void> {
-    if (this.isStopping) return;
-    this.isStopping = true;
+  /**
+   * Drains the host: finishes open requests within the grace period and stops.
+   * Further calls return the same promise.
+   */
+  drain(): Promise<void> {
+    this.drained ??= this.runDrain();
+    return this.drained;
+  }
+
+  private async runDrain(): Promise<void> {
     const {clock, settings, logger} = this.context;
     const state = this.container.get(EntryState);
     const relay = this.container.get(RequestRelay);
