Write out the queued log lines before an entry host exits

The end of a drain could not be explained from the log: `LineWriter` writes asynchronously, and main.ts called `process.exit` right after `hostStopped`, so lines queued behind a write were lost.

`LineWriter.flushed` resolves once the queue is written. The exit waits for it, but no longer than 50 ms, since a reader that stalls must not hold the process.

--- a/src/entry/main.ts
+++ b/src/entry/main.ts
@@ -7,13 +7,16 @@
 } from '../observability/mod.ts';
 import {createPlatform} from '../platform/mod.ts';
 import {describeSettingsError, readSettings} from '../settings/mod.ts';
-import {SystemClock} from '../time/mod.ts';
+import {sleep, SystemClock} from '../time/mod.ts';
 import {EntryHost} from './entry_host.ts';
 import {type EntrySettings, entrySettingsSchema} from './entry_settings.ts';
 
 /** Environment variable with the path of the settings file. */
 const SETTINGS_VARIABLE = 'LIMPETDALE_BOOT';
 
+/** Time-out for writing the queued log lines before the process exits. */
+const LOG_FLUSH_MILLISECONDS = 50;
+
 const EXIT_CODES = {success: 0, failure: 1, usage: 2} as const;
 
 /** Events of successful requests, of which only a sample is logged. */
@@ -105,7 +108,15 @@
   });
   for (const signal of ['SIGTERM', 'SIGINT'] as const) {
     process.on(signal, () => {
-      void host.drain().then(() => process.exit(EXIT_CODES.success));
+      void host
+        .drain()
+        .then(() =>
+          Promise.race([
+            writer.flushed(),
+            sleep(clock, LOG_FLUSH_MILLISECONDS),
+          ]),
+        )
+        .then(() => process.exit(EXIT_CODES.success));
     });
   }
 }
--- a/src/observability/line_writer.ts
+++ b/src/observability/line_writer.ts
@@ -21,6 +21,7 @@
   private queuedBytes = 0;
   private isWriting = false;
   private droppedLines = 0;
+  private readonly idleListeners: (() => void)[] = [];
 
   constructor(private readonly options: LineWriterOptions = {}) {}
 
@@ -37,6 +38,12 @@
     if (!this.isWriting) this.flush();
   }
 
+  /** Resolves once all queued lines are written; the reader may delay it. */
+  flushed(): Promise<void> {
+    if (!this.isWriting) return Promise.resolve();
+    return new Promise(resolve => this.idleListeners.push(resolve));
+  }
+
   private flush(): void {
     const text = this.queuedLines.join('\n') + '\n';
     this.queuedLines = [];
@@ -61,7 +68,9 @@
       const {droppedLines} = this;
       this.droppedLines = 0;
       if (droppedLines > 0) this.options.onDropped?.(droppedLines);
-      if (this.queuedLines.length > 0 && !this.isWriting) this.flush();
+      if (this.isWriting) return;
+      if (this.queuedLines.length > 0) this.flush();
+      else for (const listener of this.idleListeners.splice(0)) listener();
     });
   }
 }
