--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -24,6 +24,9 @@
 /** Part of the grace period that is reserved for closing down. */
 const CLOSING_MILLISECONDS = 700;
 
+/** Part of the grace period that is reserved for the exit of the process. */
+const EXIT_MILLISECONDS = 100;
+
 /**
  * Maximum fraction of the grace period in which requests are still sent to
  * endpoints. The rest is left for them to finish.
@@ -41,7 +44,7 @@
 /** An entry host on a platform: forwards requests and manages engine pools. */
 export class EntryHost {
   private readonly container: Container;
-  private isStopping = false;
+  private drained: Promise<void> | undefined;
   private hasStopped = false;
   /** Share of the endpoints' connections for which limits are set. */
   private connectionShare: number | undefined;
@@ -57,10 +60,16 @@
     return host;
   }
 
-  /** Drains the host: finishes open requests within the grace period and stops. */
-  async drain(): Promise<void> {
-    if (this.isStopping) return;
-    this.isStopping = true;
+  /**
+   * Drains the host: finishes open requests within the grace period and stops.
+   * Further calls return the same promise.
+   */
+  drain(): Promise<void> {
+    this.drained ??= this.runDrain();
+    return this.drained;
+  }
+
+  private async runDrain(): Promise<void> {
     const {clock, settings, logger} = this.context;
     const state = this.container.get(EntryState);
     const relay = this.container.get(RequestRelay);
@@ -88,16 +97,21 @@
     }
     if (relay.openRequestCount > 0) {
       logger.event('drainTimedOut', {open: relay.openRequestCount});
-      relay.logOpenRequests();
     }
-    await Promise.race([
-      registration.deregister(),
-      sleep(clock, CLOSING_MILLISECONDS / 2),
+    state.dispatchEndsAt = clock.monotonicMilliseconds();
+    relay.refuseIncompleteRequests();
+    await Promise.all([
+      Promise.race([
+        registration.deregister(),
+        sleep(clock, CLOSING_MILLISECONDS / 2),
+      ]),
+      this.container
+        .get(EntryListeners)
+        .close(grace - EXIT_MILLISECONDS - elapsed()),
     ]);
     this.hasStopped = true;
     this.container.get(StoreFollowers).stop();
     this.container.get(FleetStateExchange).stop();
-    this.container.get(EntryListeners).close();
     logger.event('hostStopped', {elapsed: Math.round(elapsed())});
   }
 
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -29,6 +29,12 @@
     level: 'warn',
     message: 'Request still open when its host stops',
   },
+  connectionsCut: {
+    number: 108,
+    level: 'warn',
+    message:
+      'Connections still in use were closed at the end of the grace period',
+  },
   unexpectedFailure: {
     number: 190,
     level: 'error',
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -149,7 +149,6 @@
     const target = targetOf(this.context.request.metadata);
     this.dispatchCount++;
     this.context.log.recordDispatch(endpoint);
-    this.context.log.step = REQUEST_STEPS.dispatch;
     endpoint.begin(target);
     try {
       const outcome = await this.sendAndHandleResponse(endpoint);
--- a/src/relay/_request_log.ts
+++ b/src/relay/_request_log.ts
@@ -34,6 +34,7 @@
   /** Records that the request is sent to an endpoint. */
   recordDispatch(endpoint: Endpoint): void {
     this.attempts++;
+    this.step = REQUEST_STEPS.dispatch;
     this.endpoint = endpoint;
   }
 
@@ -100,6 +101,7 @@
 
   private end(outcome: string): void {
     this.isEnded = true;
+    this.step = REQUEST_STEPS.settle;
     const labels = {outcome, service: this.service};
     const {metrics, clock} = this.options;
     metrics.increment('limpetdale_requests_total', labels);
--- a/src/relay/request_relay.ts
+++ b/src/relay/request_relay.ts
@@ -1,4 +1,5 @@
 import {createHash} from 'node:crypto';
+import {setMaxListeners} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {pickService, type Route, type RouteIndex} from '../deployment/mod.ts';
 import {
@@ -27,12 +28,16 @@
  * endpoint, forwards the request and decides on retries. Bodies are opaque.
  */
 export class RequestRelay {
-  /** Logs of the requests in flight. */
+  /** Logs of the requests whose response is not written out yet. */
   private readonly openRequests = new Set<RequestLog>();
+  private readonly stopController = new AbortController();
 
-  constructor(private readonly options: RequestRelayOptions) {}
+  constructor(private readonly options: RequestRelayOptions) {
+    // Each request whose body is being read listens to the signal.
+    setMaxListeners(0, this.stopController.signal);
+  }
 
-  /** Number of requests in flight. */
+  /** Number of requests whose response is not written out yet. */
   get openRequestCount(): number {
     return this.openRequests.size;
   }
@@ -42,6 +47,11 @@
     for (const log of this.openRequests) log.stillOpen();
   }
 
+  /** Refuses requests whose body is incomplete, and those that arrive later. */
+  refuseIncompleteRequests(): void {
+    this.stopController.abort();
+  }
+
   /** Handles one request up to its response. */
   async handle(
     request: IncomingMessage,
@@ -51,8 +61,12 @@
     const metadata = this.options.wireFormat.readMetadata(request.headers);
     const log = new RequestLog(this.options, metadata, arrivedAt);
     this.openRequests.add(log);
+    let isHandled = false;
+    let isClosed = false;
     const callerAbort = new AbortController();
     response.once('close', () => {
+      isClosed = true;
+      if (isHandled) this.openRequests.delete(log);
       if (!response.writableFinished) callerAbort.abort();
     });
     try {
@@ -63,7 +77,7 @@
         callerLeft: callerAbort.signal,
       });
       if (error !== undefined)
-        this.respondWithError(response, metadata, error, log);
+        this.respondWithError(request, response, metadata, error, log);
     } catch (error) {
       this.options.logger.event('unexpectedFailure', {
         requestId: metadata.requestId,
@@ -72,7 +86,8 @@
       response.destroy();
     } finally {
       if (callerAbort.signal.aborted) log.callerLeft();
-      this.openRequests.delete(log);
+      isHandled = true;
+      if (isClosed) this.openRequests.delete(log);
     }
   }
 
@@ -93,10 +108,14 @@
       );
     }
     log.configurationVersion = index.configuration.version;
+    const {signal} = this.stopController;
+    if (signal.aborted) return drainingError();
     const received = await readBody(
       request,
       index.configuration.limits.bodyBytes,
+      signal,
     );
+    if (received.kind === 'stopped') return drainingError();
     if (received.kind === 'broken') return undefined;
     if (received.kind === 'too_large') {
       return notRunError(
@@ -112,12 +131,7 @@
     const admitted = this.admit(request, current, context);
     if ('code' in admitted) return admitted;
     if (this.options.refusesNewRequests()) {
-      return notRunError(
-        REQUEST_ERROR_CODES.draining,
-        REQUEST_STEPS.admit,
-        'This host is stopping',
-        DRAINING_RETRY_MILLISECONDS,
-      );
+      return drainingError();
     }
     const loop = new AttemptLoop(this.options, {
       request: admitted,
@@ -203,6 +217,7 @@
   }
 
   private respondWithError(
+    request: IncomingMessage,
     response: ServerResponse,
     metadata: RequestMetadata,
     error: RequestError,
@@ -219,11 +234,20 @@
       response.destroy();
       return;
     }
+    const isDraining = this.options.isDraining();
     response.writeHead(head.status, [
       ...connectionHeader(this.options),
       ...head.headers,
     ]);
-    response.end();
+    if (request.complete || !isDraining) {
+      response.end();
+      return;
+    }
+    // Closing a connection with unread bytes resets it, and the caller may lose
+    // the response. The head is the whole response.
+    response.flushHeaders();
+    request.once('close', () => response.end());
+    request.resume();
   }
 }
 
@@ -245,6 +269,15 @@
   return isDraining() ? ['Connection', 'close'] : [];
 }
 
+function drainingError(): RequestError {
+  return notRunError(
+    REQUEST_ERROR_CODES.draining,
+    REQUEST_STEPS.admit,
+    'This host is stopping',
+    DRAINING_RETRY_MILLISECONDS,
+  );
+}
+
 function notRunError(
   code: RequestErrorCode,
   step: RequestStep,
