Answer requests that an endpoint still runs when its host stops

What callers saw: a connection closed without a response at the end of the grace period, when an endpoint had not answered by then. Cause: the host closed the connections and answered nothing; only requests with an incomplete body were refused. Evidence: planned_stop_test, "answers a request that an endpoint does not finish in time", failed with ECONNRESET. Responses that have begun go on until the connections are closed. The test of the log line for cut requests needs a response that has begun now; it checks the same fields on a stream that stalls.

--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -99,7 +99,7 @@
       logger.event('drainTimedOut', {open: relay.openRequestCount});
     }
     state.dispatchEndsAt = clock.monotonicMilliseconds();
-    relay.refuseIncompleteRequests();
+    relay.endUnansweredRequests();
     await Promise.all([
       Promise.race([
         registration.deregister(),
--- a/src/entry/planned_stop_test.ts
+++ b/src/entry/planned_stop_test.ts
@@ -57,6 +57,46 @@
     },
   );
 
+  // Guards against connections that are closed without a response: a request that an
+  // endpoint still ran at the end of the grace period got none.
+  test('answers a request that an endpoint does not finish in time', async () => {
+    const {host, callerPort} = await fleet.startHost('host-1', {
+      graceSeconds: GRACE_SECONDS,
+    });
+    engine.trouble = 'hangs';
+    const running = send(callerPort, {
+      method: 'POST',
+      path: '/draft/x',
+      headers: {Model: 'model-a'},
+      body: 'opaque',
+    });
+    await expect.poll(() => engine.ran.length).toBe(1);
+    await host.drain();
+    expect((await running).status).toBe(502);
+    expect(engine.ran.length).toBe(1);
+  });
+
+  test('logs a stream that is cut at the end of the grace period', async () => {
+    const {host, callerPort} = await fleet.startHost('host-1', {
+      graceSeconds: GRACE_SECONDS,
+    });
+    engine.trouble = 'stalls';
+    const streaming = send(callerPort, {
+      method: 'POST',
+      path: '/draft/x',
+      headers: {Model: 'model-a'},
+      body: 'opaque',
+    });
+    await expect.poll(() => engine.ran.length).toBe(1);
+    await host.drain();
+    expect(await streaming).toMatchObject({status: 200, isBroken: true});
+    const cut = fleet.lines.find(line => line.includes('"requestOpenAtStop"'));
+    expect(JSON.parse(cut ?? '{}')).toMatchObject({
+      requestId: 'request-1',
+      step: 'relay',
+    });
+  });
+
   // Guards against streams that are cut because a stopping host accepted them late:
   // it went on accepting after the cached addresses of all callers had expired.
   test('refuses a request once no caller should know its address', async () => {
--- a/src/relay/_attempt_context.ts
+++ b/src/relay/_attempt_context.ts
@@ -13,5 +13,7 @@
   readonly response: ServerResponse;
   /** Aborted when the caller disconnects. */
   readonly callerLeft: AbortSignal;
+  /** Aborted when requests without a response must be answered. */
+  readonly hostStops: AbortSignal;
   readonly log: RequestLog;
 }
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -68,7 +68,8 @@
 
   /** @returns The error to respond with; undefined when nothing is left to send. */
   async run(): Promise<RequestError | undefined> {
-    const {callerLeft, request, fingerprint} = this.context;
+    const {callerLeft, fingerprint, hostStops, request, response} =
+      this.context;
     if (!this.options.crashGuard.allows(fingerprint)) {
       return this.error(
         REQUEST_ERROR_CODES.quarantined,
@@ -77,7 +78,11 @@
       );
     }
     const abort = () => this.abortController.abort();
+    const abortUnanswered = () => {
+      if (!response.headersSent) abort();
+    };
     callerLeft.addEventListener('abort', abort, {once: true});
+    hostStops.addEventListener('abort', abortUnanswered, {once: true});
     const cancelTimer = this.options.clock.startTimer(this.remaining(), abort);
     try {
       this.options.retryBudget.recordRequest(request.service.name);
@@ -85,6 +90,7 @@
     } finally {
       cancelTimer();
       callerLeft.removeEventListener('abort', abort);
+      hostStops.removeEventListener('abort', abortUnanswered);
     }
   }
 
@@ -125,16 +131,24 @@
       outcome.fallback();
       return undefined;
     }
-    const hasTimedOut = outcome.kind === 'broken' && outcome.timedOut === true;
-    const code =
-      hasTimedOut || this.remaining() <= 0
-        ? REQUEST_ERROR_CODES.deadlineExceeded
-        : REQUEST_ERROR_CODES.endpointFailed;
+    const code = this.failureCode(outcome);
     return this.error(code, outcome.reason, this.runCount === 0);
   }
 
+  private failureCode(
+    outcome: Exclude<AttemptOutcome, {kind: 'delivered'}>,
+  ): RequestErrorCode {
+    const hasTimedOut = outcome.kind === 'broken' && outcome.timedOut === true;
+    if (hasTimedOut || this.remaining() <= 0)
+      return REQUEST_ERROR_CODES.deadlineExceeded;
+    return this.context.hostStops.aborted
+      ? REQUEST_ERROR_CODES.draining
+      : REQUEST_ERROR_CODES.endpointFailed;
+  }
+
   private mayRetry(kind: 'not_run' | 'broken'): boolean {
     const {route, service} = this.context.request;
+    if (this.abortController.signal.aborted) return false;
     if (this.remaining() <= 0 || this.dispatchCount >= MAXIMUM_DISPATCHES)
       return false;
     if (kind === 'broken') {
--- a/src/relay/request_relay.ts
+++ b/src/relay/request_relay.ts
@@ -33,7 +33,7 @@
   private readonly stopController = new AbortController();
 
   constructor(private readonly options: RequestRelayOptions) {
-    // Each request whose body is being read listens to the signal.
+    // Each request listens to the signal until its response begins.
     setMaxListeners(0, this.stopController.signal);
   }
 
@@ -47,8 +47,11 @@
     for (const log of this.openRequests) log.stillOpen();
   }
 
-  /** Refuses requests whose body is incomplete, and those that arrive later. */
-  refuseIncompleteRequests(): void {
+  /**
+   * Answers all requests that have no response yet with an error, and those that
+   * arrive later. Responses that have begun go on.
+   */
+  endUnansweredRequests(): void {
     this.stopController.abort();
   }
 
@@ -142,6 +145,7 @@
       fingerprint: fingerprint(admitted, request, received.body),
       response,
       callerLeft,
+      hostStops: this.stopController.signal,
       log,
     });
     log.admittedAfterMilliseconds =
--- a/src/testing/platform_endpoint_stand_in.ts
+++ b/src/testing/platform_endpoint_stand_in.ts
@@ -27,6 +27,8 @@
   | 'extra_answer'
   /** Answers only when told to. */
   | 'hangs'
+  /** Sends the first event of a stream and no end. */
+  | 'stalls'
   /** Ends the body without a length and with a reset. */
   | 'unframed_reset'
   /** Ends the body without a length and in the middle. */
@@ -226,6 +228,9 @@
       case 'hangs':
         this.hanging.push(() => response.writeHead(200, own).end(whole));
         return;
+      case 'stalls':
+        response.writeHead(200, own).write('id: 1\ndata: event 1\n\n');
+        return;
       case 'loses_answer':
         request.socket.destroy();
         return;
