Log the requests that are still open when a drain times out

drainTimedOut gave only a number, so the log could not tell a request that still waited for a replica from one that an engine ran. Each open request is now logged with its id, step, run state and age (requestOpenAtDrainEnd, 107).

--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -303,6 +303,7 @@
       if (now >= drainDeadline) {
         const open = requestPath.activeRequests();
         logger.event('drainTimedOut', {open});
+        requestPath.logOpenRequests();
         break;
       }
       await sleep(clock, DRAIN_POLL_INTERVAL_MILLISECONDS);
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -24,6 +24,11 @@
     level: 'warn',
     message: 'Drain timed out with requests still open',
   },
+  requestOpenAtDrainEnd: {
+    number: 107,
+    level: 'warn',
+    message: 'Request still open when the drain timed out',
+  },
   unexpectedFailure: {
     number: 190,
     level: 'error',
--- a/src/requests/open_request.ts
+++ b/src/requests/open_request.ts
@@ -32,6 +32,7 @@
   /** API key of the request; undefined on open routes. */
   keyId: string | undefined;
   readonly requestId: string;
+  readonly openedAt: number;
   readonly deadlineAt: number;
   private readonly controller = new AbortController();
   private abortReason: AbortReason | undefined;
@@ -40,7 +41,8 @@
   constructor(private readonly options: OpenRequestOptions) {
     const {clock, timeoutMilliseconds} = options;
     this.requestId = options.requestId;
-    this.deadlineAt = clock.monotonicMilliseconds() + timeoutMilliseconds;
+    this.openedAt = clock.monotonicMilliseconds();
+    this.deadlineAt = this.openedAt + timeoutMilliseconds;
     this.cancelDeadline = clock.startTimer(timeoutMilliseconds, () => {
       const message = `The request took longer than ${timeoutMilliseconds} ms`;
       this.end(REQUEST_ERROR_CODES.deadlineExceeded, message);
--- a/src/requests/request_path.ts
+++ b/src/requests/request_path.ts
@@ -137,6 +137,21 @@
     return this.openRequests.size;
   }
 
+  /** Logs every open request with its step, run state and age. */
+  logOpenRequests(): void {
+    const {clock, logger} = this.options;
+    const now = clock.monotonicMilliseconds();
+    for (const {requestId, step, run, openedAt} of this.openRequests) {
+      const ageMilliseconds = Math.round(now - openedAt);
+      logger.event('requestOpenAtDrainEnd', {
+        requestId,
+        step,
+        run,
+        ageMilliseconds,
+      });
+    }
+  }
+
   /**
    * Ends requests whose key was withdrawn or whose contract ended. Call it when
    * the authority changes, and about every second.
