Refuse requests of a draining host that no endpoint has received

What callers saw: a request that still waited when the drain of its host timed out was refused without Retry-After (waiting for a replica or for tokens), or its connection was closed without a response (waiting for a confirmed view, an idempotency claim or admission).

Cause: the waiting steps were bounded by the deadline of the request and not by the end of the drain. Host.stop ended two of the five waits.

Why this works: half-way through the drain time-out, RequestPath ends the requests whose run state is not_run through the signal that every waiting step already respects, and refuses later ones. The rest of the time-out is left for the requests that endpoints have received. The releases of leases no longer take more than that half either.

--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -45,6 +45,11 @@
 const CHANGE_EFFECT_TIMEOUT_MILLISECONDS = 8000;
 const LEASE_RELEASE_TIMEOUT_MILLISECONDS = 5000;
 const DRAIN_POLL_INTERVAL_MILLISECONDS = 50;
+/**
+ * Share of the drain timeout in which waiting requests may still be sent to an
+ * endpoint. The rest is for the requests that endpoints have received.
+ */
+const DISPATCH_SHARE_OF_DRAIN = 0.5;
 /**
  * Contracts expire without a change to the authority, so open requests are
  * also checked at this interval.
@@ -127,6 +132,7 @@
 
   /** Stops immediately and aborts open requests. */
   async stop(): Promise<void> {
+    this.container.get(RequestPath).stopDispatching();
     this.container.get(Maintenance).stop();
     await this.container.get(PoolControllers).stop();
     this.container.get(ReplicaRouter).stop();
@@ -289,13 +295,18 @@
     const {clock, logger, settings} = this.context;
     const startedAt = clock.monotonicMilliseconds();
     const drainDeadline = startedAt + settings.drainTimeoutMilliseconds;
+    const dispatchMilliseconds =
+      settings.drainTimeoutMilliseconds * DISPATCH_SHARE_OF_DRAIN;
+    const requestPath = this.container.get(RequestPath);
     this.context.isDraining = true;
     logger.event('hostDraining');
+    clock.startTimer(dispatchMilliseconds, () => requestPath.stopDispatching());
     await this.container.get(PoolControllers).stop();
     await this.container
       .get(LeaseManager)
-      .releaseAll(LEASE_RELEASE_TIMEOUT_MILLISECONDS);
-    const requestPath = this.container.get(RequestPath);
+      .releaseAll(
+        Math.min(LEASE_RELEASE_TIMEOUT_MILLISECONDS, dispatchMilliseconds),
+      );
     const serveUntil = this.directory.addressesValidUntil();
     for (;;) {
       const now = clock.monotonicMilliseconds();
--- /dev/null
+++ b/src/daemon/host_drain_test.ts
@@ -0,0 +1,93 @@
+import {got} from 'got';
+import {afterEach, describe, expect, test} from 'vitest';
+import type {EngineStandInOptions} from '../testing/engine_stand_in.ts';
+import {LocalDeployment} from '../testing/local_deployment.ts';
+import type {Host} from './mod.ts';
+
+const MODEL = 'veneer-assistant';
+
+let deployment: LocalDeployment | undefined;
+
+afterEach(async () => {
+  await deployment?.stop();
+  deployment = undefined;
+});
+
+interface ServingHost {
+  readonly host: Host;
+  readonly secret: string;
+}
+
+async function startServingHost(
+  engineOptions: EngineStandInOptions,
+): Promise<ServingHost> {
+  deployment = await LocalDeployment.start({
+    engines: 1,
+    engineOptions,
+    drainTimeoutMilliseconds: 2000,
+  });
+  const host = await deployment.startHost('host-1');
+  await deployment.putEndpoints(host);
+  await deployment.putModel(host, MODEL);
+  const {secret} = await deployment.putContract(host, 'workshop', [MODEL]);
+  return {host, secret};
+}
+
+interface Completion {
+  /** Undefined if the connection was closed before the response had ended. */
+  readonly status: number | undefined;
+  readonly headers: Readonly<Record<string, unknown>>;
+  readonly body: string;
+}
+
+/** Sends a chat request and returns the response, or how the connection ended. */
+async function sendChat(
+  {host, secret}: ServingHost,
+  stream: boolean,
+): Promise<Completion> {
+  try {
+    const response = await got.post(
+      `${host.addresses.callers}/v1/chat/completions`,
+      {
+        throwHttpErrors: false,
+        retry: {limit: 0},
+        headers: {authorization: `Bearer ${secret}`},
+        json: {
+          model: MODEL,
+          max_tokens: 10_000,
+          stream,
+          messages: [{role: 'user', content: 'Which species'}],
+        },
+      },
+    );
+    const {statusCode: status, headers, body} = response;
+    return {status, headers, body};
+  } catch (error) {
+    return {status: undefined, headers: {}, body: String(error)};
+  }
+}
+
+/** Waits until the host has this many open requests. */
+async function waitForOpenRequests({host}: ServingHost, count: number) {
+  const url = `${host.addresses.callers}/metrics`;
+  await expect
+    .poll(() => got(url).text())
+    .toContain(`limpetdale_open_requests ${count}\n`);
+}
+
+describe('a host whose drain ends before its requests', () => {
+  // Guards against an accepted request that waits until the drain times out and
+  // is then not told when to try again.
+  test('refuses a request that waits for a replica as not run', async () => {
+    const serving = await startServingHost({remoteLoadMilliseconds: 60_000});
+    const answer = sendChat(serving, false);
+    await waitForOpenRequests(serving, 1);
+    await serving.host.drain();
+    const refusal = await answer;
+    expect(refusal.body).toContain('"code":"host_draining"');
+    expect(refusal).toMatchObject({
+      status: 503,
+      headers: {'retry-after': '1', 'x-limpetdale-run': 'not_run'},
+    });
+  });
+});
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -24,6 +24,11 @@
     level: 'warn',
     message: 'Drain timed out with requests still open',
   },
+  dispatchStopped: {
+    number: 108,
+    level: 'info',
+    message: 'Host refuses requests that no endpoint has received',
+  },
   requestOpenAtDrainEnd: {
     number: 107,
     level: 'warn',
--- a/src/requests/open_request.ts
+++ b/src/requests/open_request.ts
@@ -21,6 +21,7 @@
 interface AbortReason {
   readonly code: RequestErrorCode;
   readonly message: string;
+  readonly retryAfterMilliseconds: number | undefined;
 }
 
 /** A request in progress. */
@@ -80,16 +81,24 @@
   }
 
   /** Aborts the request with this error; only the first call takes effect. */
-  end(code: RequestErrorCode, message: string): void {
+  end(
+    code: RequestErrorCode,
+    message: string,
+    retryAfterMilliseconds?: number,
+  ): void {
     if (this.abortReason !== undefined) return;
-    this.abortReason = {code, message};
+    this.abortReason = {code, message, retryAfterMilliseconds};
     this.controller.abort();
   }
 
   /** The error with which the request was aborted, if it was. */
   abortError(): RequestError | undefined {
     if (this.abortReason === undefined) return undefined;
-    return this.error(this.abortReason.code, this.abortReason.message);
+    const {code, message, retryAfterMilliseconds} = this.abortReason;
+    return {
+      ...this.error(code, message),
+      ...(retryAfterMilliseconds === undefined ? {} : {retryAfterMilliseconds}),
+    };
   }
 
   /** Creates an error at the current step. */
--- a/src/requests/request_path.ts
+++ b/src/requests/request_path.ts
@@ -5,6 +5,7 @@
   REQUEST_STEPS,
   type RequestError,
   type Result,
+  RUN_STATES,
   success,
 } from '../errors/mod.ts';
 import {checkKeyId} from '../keys/mod.ts';
@@ -28,11 +29,14 @@
 const LIST_TIMEOUT_MILLISECONDS = 10_000;
 /** Confirming the view takes one exchange with the peers or the table. */
 const VIEW_CONFIRMATION_MILLISECONDS = 1000;
+/** `Retry-After` of a draining host; its caller should try another host. */
+const DRAINING_RETRY_MILLISECONDS = 1000;
 
 /** Dispatches callers' requests to endpoints and relays the responses. */
 export class RequestPath {
   private readonly context: RequestContext;
   private readonly openRequests = new Set<OpenRequest>();
+  private isDispatching = true;
 
   constructor(private readonly options: RequestPathOptions) {
     this.context = createContext(options);
@@ -54,7 +58,9 @@
     const open = this.openRequest(request, request.timeoutMilliseconds);
     try {
       await this.waitForView(open);
-      yield* this.admitModel(request, open);
+      const ended = open.abortError();
+      if (ended === undefined) yield* this.admitModel(request, open);
+      else yield {kind: 'failed', error: ended};
     } finally {
       this.closeRequest(open);
     }
@@ -68,7 +74,11 @@
     const timeout = route?.timeoutMilliseconds ?? UNROUTED_TIMEOUT_MILLISECONDS;
     const open = this.openRequest(request, timeout);
     await this.waitForView(open);
-    const admitted = this.admitService(request, open, route);
+    const ended = open.abortError();
+    const admitted =
+      ended === undefined
+        ? this.admitService(request, open, route)
+        : failure(ended);
     if (!admitted.ok) {
       this.closeRequest(open);
       return admitted;
@@ -137,6 +147,21 @@
     return this.openRequests.size;
   }
 
+  /**
+   * Refuses all requests that no endpoint has received, including later ones.
+   * Their callers can send them to another host.
+   */
+  stopDispatching(): void {
+    if (!this.isDispatching) return;
+    this.isDispatching = false;
+    const undispatched = [...this.openRequests].filter(
+      ({run}) => run === RUN_STATES.notRun,
+    );
+    const refused = undispatched.length;
+    this.options.logger.event('dispatchStopped', {refused});
+    for (const open of undispatched) refuseForDrain(open);
+  }
+
   /** Logs every open request with its step, run state and age. */
   logOpenRequests(): void {
     const {clock, logger} = this.options;
@@ -255,6 +280,7 @@
       timeoutMilliseconds,
     });
     this.openRequests.add(open);
+    if (!this.isDispatching) refuseForDrain(open);
     return open;
   }
 
@@ -263,3 +289,11 @@
     open.close();
   }
 }
+
+function refuseForDrain(open: OpenRequest): void {
+  open.end(
+    REQUEST_ERROR_CODES.draining,
+    'This host is shutting down',
+    DRAINING_RETRY_MILLISECONDS,
+  );
+}
--- a/src/testing/local_deployment.ts
+++ b/src/testing/local_deployment.ts
@@ -29,6 +29,8 @@
   viewTimeoutMilliseconds?: number;
   /** Validity of address answers, in milliseconds. @default 300 */
   addressTimeToLiveMilliseconds?: number;
+  /** Maximum duration of a drain, in milliseconds. @default 120000 */
+  drainTimeoutMilliseconds?: number;
   /** Weight store's loads a second. @default 100 */
   loadsPerSecond?: number;
   /** Logger of a host. @default none */
@@ -256,6 +258,7 @@
         hostList: this.hostList.server.address,
       },
       viewTimeoutMilliseconds: this.options.viewTimeoutMilliseconds ?? 1000,
+      drainTimeoutMilliseconds: this.options.drainTimeoutMilliseconds,
     });
   }
 }
