End requests that outlast a drain with an error

What callers saw: a request that an engine still ran when the drain timed out lost its connection: no status for a whole response, no error event for a stream.

Cause: Host.stop closed the endpoint clients and all connections in one turn, so that the request path could not end its requests first.

Why this works: Host.stop first ends all open requests with host_draining and the run state that they have reached, and waits up to 500 ms for them. A drain begins with this 500 ms before its time-out.

--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -44,6 +44,8 @@
 /** Time that an operator's change waits to take effect on all hosts. */
 const CHANGE_EFFECT_TIMEOUT_MILLISECONDS = 8000;
 const LEASE_RELEASE_TIMEOUT_MILLISECONDS = 5000;
+/** Time in which the open requests of a stopping host can end. */
+const STOP_TIMEOUT_MILLISECONDS = 500;
 const DRAIN_POLL_INTERVAL_MILLISECONDS = 50;
 /**
  * Share of the drain timeout in which waiting requests may still be sent to an
@@ -130,9 +132,11 @@
     return this.drained;
   }
 
-  /** Stops immediately and aborts open requests. */
+  /** Stops the host; open requests end with an error. */
   async stop(): Promise<void> {
-    this.container.get(RequestPath).stopDispatching();
+    await this.container
+      .get(RequestPath)
+      .endOpenRequests(STOP_TIMEOUT_MILLISECONDS);
     this.container.get(Maintenance).stop();
     await this.container.get(PoolControllers).stop();
     this.container.get(ReplicaRouter).stop();
@@ -311,7 +315,7 @@
     for (;;) {
       const now = clock.monotonicMilliseconds();
       if (now >= serveUntil && requestPath.activeRequests() === 0) break;
-      if (now >= drainDeadline) {
+      if (now >= drainDeadline - STOP_TIMEOUT_MILLISECONDS) {
         const open = requestPath.activeRequests();
         logger.event('drainTimedOut', {open});
         requestPath.logOpenRequests();
--- a/src/daemon/host_drain_test.ts
+++ b/src/daemon/host_drain_test.ts
@@ -90,4 +90,30 @@
       headers: {'retry-after': '1', 'x-limpetdale-run': 'not_run'},
     });
   });
+
+  // Guards against a response that ends without an error event or a status
+  // when its run outlasts the drain.
+  const running = [
+    {name: 'a stream', stream: true, status: 200},
+    {name: 'a whole response', stream: false, status: 503},
+  ];
+  test.each(running)(
+    'ends $name that is still running with an error',
+    async ({stream, status}) => {
+      const serving = await startServingHost({
+        tokenMilliseconds: 50,
+        answerTokens: 10_000,
+      });
+      const answer = sendChat(serving, stream);
+      await waitForOpenRequests(serving, 1);
+      await expect
+        .poll(() => deployment?.engines[0]?.runsStarted.length)
+        .toBe(1);
+      await serving.host.drain();
+      const ended = await answer;
+      expect(ended.body).toContain('"code":"host_draining"');
+      expect(ended.body).toContain('"run":"unknown"');
+      expect(ended.status).toBe(status);
+    },
+  );
 });
--- a/src/requests/request_path.ts
+++ b/src/requests/request_path.ts
@@ -9,6 +9,7 @@
   success,
 } from '../errors/mod.ts';
 import {checkKeyId} from '../keys/mod.ts';
+import {sleep} from '../time/mod.ts';
 import {
   identifyCaller,
   mayCallModel,
@@ -31,6 +32,7 @@
 const VIEW_CONFIRMATION_MILLISECONDS = 1000;
 /** `Retry-After` of a draining host; its caller should try another host. */
 const DRAINING_RETRY_MILLISECONDS = 1000;
+const END_POLL_MILLISECONDS = 10;
 
 /** Dispatches callers' requests to endpoints and relays the responses. */
 export class RequestPath {
@@ -162,6 +164,27 @@
     for (const open of undispatched) refuseForDrain(open);
   }
 
+  /**
+   * Ends all open requests and refuses later ones. Resolves once every request
+   * has ended, or after a time limit.
+   */
+  async endOpenRequests(timeLimitMilliseconds: number): Promise<void> {
+    const {clock} = this.options;
+    const deadlineAt = clock.monotonicMilliseconds() + timeLimitMilliseconds;
+    this.stopDispatching();
+    for (const open of this.openRequests) {
+      open.end(
+        REQUEST_ERROR_CODES.draining,
+        'This host shut down before the request ended',
+      );
+    }
+    while (this.openRequests.size > 0) {
+      const remaining = deadlineAt - clock.monotonicMilliseconds();
+      if (remaining <= 0) return;
+      await sleep(clock, Math.min(remaining, END_POLL_MILLISECONDS));
+    }
+  }
+
   /** Logs every open request with its step, run state and age. */
   logOpenRequests(): void {
     const {clock, logger} = this.options;
