Add closeGracefully for HTTP servers

Callers of a host that stopped saw connections closed with neither an answer nor a refusal. Both kinds of host end with `server.close()` and `server.closeAllConnections()`, which cut whatever is open at that moment.

`server.close()` alone is no remedy: in Node.js 19 and later it also destroys connections whose response has ended but is not yet written out.

`closeGracefully` stops accepting after it has emptied the backlog, closes connections that have been idle for a moment, lets the others finish, and destroys what is left at the time-out. Hosts do not use it yet.

--- a/src/http/mod.ts
+++ b/src/http/mod.ts
@@ -12,6 +12,11 @@
   type CallerApplicationOptions,
   createCallerApplication,
 } from './caller_application.ts';
+export {
+  closeGracefully,
+  type CloseOptions,
+  trackConnections,
+} from './close_gracefully.ts';
 export {
   createOperatorApplication,
   type OperatorApplicationOptions,
