Close the servers of the daemon without cutting responses or uploads

What callers saw: a connection closed without a response when the host stopped while their body was still on its way.

Cause: Host.stop closed all connections as soon as the request path had no open request. The path does not count a body that is being received, a response that has ended but is not written out, or a request that arrives on a kept connection after the last check.

Why this works: closeGracefully waits until requests and responses have ended and are written out, bounded by the drain time-out. The request path refuses by then what still arrives (host_draining, not run).

--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -1,9 +1,9 @@
 import {randomUUID} from 'node:crypto';
-import type {Server} from 'node:http';
 import type {Container} from 'inversify';
 import {type Authority, type Change, ChangeLog} from '../contracts/mod.ts';
 import {EndpointClients} from '../endpoints/mod.ts';
 import {
+  closeGracefully,
   createCallerApplication,
   createOperatorApplication,
   type OperatorChangeResult,
@@ -133,7 +133,16 @@
   }
 
   /** Stops the host; open requests end with an error. */
-  async stop(): Promise<void> {
+  stop(): Promise<void> {
+    const {clock} = this.context;
+    return this.stopBy(
+      clock.monotonicMilliseconds() + STOP_TIMEOUT_MILLISECONDS,
+    );
+  }
+
+  /** Stops the host and closes connections that are still in use at a time. */
+  private async stopBy(closeAt: number): Promise<void> {
+    const {clock} = this.context;
     await this.container
       .get(RequestPath)
       .endOpenRequests(STOP_TIMEOUT_MILLISECONDS);
@@ -146,10 +155,15 @@
     this.container.get(Membership).stop();
     await this.container.get(PeerNetwork).stop();
     this.container.get(EndpointClients).retain(new Set());
-    await Promise.all([
-      closeServer(this.listeners.callers),
-      closeServer(this.listeners.operators),
-    ]);
+    const timeoutMilliseconds = Math.max(
+      0,
+      closeAt - clock.monotonicMilliseconds(),
+    );
+    await Promise.all(
+      [this.listeners.callers, this.listeners.operators].map(server =>
+        closeGracefully(server, {clock, timeoutMilliseconds}),
+      ),
+    );
     this.context.logger.event('hostStopped');
     this.stopController.abort();
   }
@@ -323,13 +337,6 @@
       }
       await sleep(clock, DRAIN_POLL_INTERVAL_MILLISECONDS);
     }
-    await this.stop();
+    await this.stopBy(drainDeadline);
   }
 }
-
-async function closeServer(server: Server): Promise<void> {
-  await new Promise<void>(resolve => {
-    server.close(() => resolve());
-    server.closeAllConnections();
-  });
-}
--- a/src/daemon/host_drain_test.ts
+++ b/src/daemon/host_drain_test.ts
@@ -1,3 +1,5 @@
+import {once} from 'node:events';
+import {type ClientRequest, type IncomingMessage, request} from 'node:http';
 import {got} from 'got';
 import {afterEach, describe, expect, test} from 'vitest';
 import type {EngineStandInOptions} from '../testing/engine_stand_in.ts';
@@ -20,11 +22,12 @@
 
 async function startServingHost(
   engineOptions: EngineStandInOptions,
+  drainTimeoutMilliseconds = 2000,
 ): Promise<ServingHost> {
   deployment = await LocalDeployment.start({
     engines: 1,
     engineOptions,
-    drainTimeoutMilliseconds: 2000,
+    drainTimeoutMilliseconds,
   });
   const host = await deployment.startHost('host-1');
   await deployment.putEndpoints(host);
@@ -117,3 +120,48 @@
     },
   );
 });
+
+// Guards against an upload whose connection is closed without a response
+// because the request path does not count it as open yet.
+test('a host that stops during an upload refuses the request as not run', async () => {
+  const serving = await startServingHost({}, 20_000);
+  const body = JSON.stringify({
+    model: MODEL,
+    messages: [{role: 'user', content: 'Which species'}],
+  });
+  const upload = request(
+    `${serving.host.addresses.callers}/v1/chat/completions`,
+    {
+      method: 'POST',
+      headers: {
+        authorization: `Bearer ${serving.secret}`,
+        'content-length': body.length,
+        expect: '100-continue',
+      },
+    },
+  );
+  const response = readResponse(upload);
+  upload.flushHeaders();
+  await once(upload, 'continue');
+  const drained = serving.host.drain();
+  await expect
+    .poll(() =>
+      got(serving.host.addresses.callers, {retry: {limit: 0}}).catch(String),
+    )
+    .toContain('ECONNREFUSED');
+  upload.end(body);
+  expect(await response).toMatchObject({status: 503, run: 'not_run'});
+  await drained;
+});
+
+/** Returns the response to a request, or how its connection ended. */
+async function readResponse(sent: ClientRequest) {
+  try {
+    const [message] = (await once(sent, 'response')) as [IncomingMessage];
+    message.resume();
+    const run = message.headers['x-limpetdale-run'];
+    return {status: message.statusCode, run};
+  } catch (error) {
+    return {status: undefined, run: String(error)};
+  }
+}
--- a/src/daemon/listeners.ts
+++ b/src/daemon/listeners.ts
@@ -1,5 +1,6 @@
 import {createServer, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {trackConnections} from '../http/mod.ts';
 import type {Settings} from '../settings/mod.ts';
 
 /** HTTP servers on which a host listens. */
@@ -55,6 +56,7 @@
 
 async function openListener(address: string, port: number): Promise<Server> {
   const server = createServer();
+  trackConnections(server);
   server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MILLISECONDS;
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
