Close connections whose request a host accepted before it left

What callers saw: a response without Connection: close when the drain began while its request was open; they kept the connection and sent the next request to a host that was about to stop.

Cause: the header was set when a request arrived.

Evidence: before the change, both cases of caller_application_test.ts failed with expected 'keep-alive' to be 'close'.

Why this works: the header is decided when the head of the response is written.

Measured: 682 tests passed, 1 skipped; npm run check green.

--- a/src/http/caller_application.ts
+++ b/src/http/caller_application.ts
@@ -1,3 +1,4 @@
+import type {ServerResponse} from 'node:http';
 import express, {type ErrorRequestHandler, type Express} from 'express';
 import {
   REQUEST_ERROR_CODES,
@@ -48,7 +49,7 @@
   application.set('etag', false);
   application.use(measureRequests(options.metrics, options.clock));
   application.use((_request, response, next) => {
-    if (options.isLeaving()) response.set('Connection', 'close');
+    closeConnectionWhenLeaving(response, options.isLeaving);
     next();
   });
   addModelRoutes(application, options);
@@ -73,6 +74,20 @@
   return application;
 }
 
+/** Decides as late as possible, since a request may outlast the start of a drain. */
+function closeConnectionWhenLeaving(
+  response: ServerResponse,
+  isLeaving: () => boolean,
+): void {
+  const writeHead = response.writeHead.bind(response) as (
+    ...headArguments: unknown[]
+  ) => ServerResponse;
+  response.writeHead = (...headArguments: unknown[]) => {
+    if (isLeaving()) response.setHeader('Connection', 'close');
+    return writeHead(...headArguments);
+  };
+}
+
 function addModelRoutes(
   application: Express,
   options: CallerApplicationOptions,
--- a/src/http/caller_application_test.ts
+++ b/src/http/caller_application_test.ts
@@ -57,6 +57,7 @@
     return;
   }
   yield {kind: 'accepted', requestId: request.requestId, team: 'workshop'};
+  onAccepted();
   yield {kind: 'token', index: 0, text: 'burl '};
   yield {kind: 'token', index: 1, text: 'veneer'};
   if (request.model === 'breaks') {
@@ -110,6 +111,8 @@
 }
 
 let server: Server;
+let isLeaving = false;
+let onAccepted = () => {};
 let address: string;
 
 beforeAll(async () => {
@@ -126,7 +129,7 @@
       {host: 'host-1', address: 'http://127.0.0.1:1', dataCentre: 'istanbul-1'},
     ],
     notReadyReason: () => 'view_unconfirmed',
-    isLeaving: () => false,
+    isLeaving: () => isLeaving,
     maximumServiceBodyBytes: () => 100,
   });
   server = createServer(application);
@@ -387,3 +390,25 @@
     ],
   });
 });
+
+// Guards against a caller that keeps a connection to a draining host because its
+// request was accepted before the drain.
+describe('a response of a leaving host closes the connection', () => {
+  test.each([{stream: false}, {stream: true}])(
+    'if the drain starts while it is open (stream: $stream)',
+    async ({stream}) => {
+      onAccepted = () => {
+        isLeaving = true;
+      };
+      const answer = await got.post(`${address}/v1/chat/completions`, {
+        headers: {authorization: 'Bearer good'},
+        json: {model: 'veneer-assistant', messages: MESSAGES, stream},
+        retry: {limit: 0},
+      });
+      isLeaving = false;
+      onAccepted = () => {};
+      expect(answer.statusCode).toBe(200);
+      expect(answer.headers.connection).toBe('close');
+    },
+  );
+});
