--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -1,9 +1,9 @@
 import {randomUUID} from 'node:crypto';
-import type {Server} from 'node:http';
 import type {Container} from 'inversify';
 import {type Authority, type Change, ChangeLog} from '../contracts/mod.ts';
 import {EndpointClients} from '../endpoints/mod.ts';
 import {
+  closeGracefully,
   createCallerApplication,
   createOperatorApplication,
   type OperatorChangeResult,
@@ -44,7 +44,14 @@
 /** Time that an operator's change waits to take effect on all hosts. */
 const CHANGE_EFFECT_TIMEOUT_MILLISECONDS = 8000;
 const LEASE_RELEASE_TIMEOUT_MILLISECONDS = 5000;
+/** Time in which the open requests of a stopping host can end. */
+const STOP_TIMEOUT_MILLISECONDS = 500;
 const DRAIN_POLL_INTERVAL_MILLISECONDS = 50;
+/**
+ * Share of the drain timeout in which waiting requests may still be sent to an
+ * endpoint. The rest is for the requests that endpoints have received.
+ */
+const DISPATCH_SHARE_OF_DRAIN = 0.5;
 /**
  * Contracts expire without a change to the authority, so open requests are
  * also checked at this interval.
@@ -125,8 +132,20 @@
     return this.drained;
   }
 
-  /** Stops immediately and aborts open requests. */
-  async stop(): Promise<void> {
+  /** Stops the host; open requests end with an error. */
+  stop(): Promise<void> {
+    const {clock} = this.context;
+    return this.stopBy(
+      clock.monotonicMilliseconds() + STOP_TIMEOUT_MILLISECONDS,
+    );
+  }
+
+  /** Stops the host and closes connections that are still in use at a time. */
+  private async stopBy(closeAt: number): Promise<void> {
+    const {clock} = this.context;
+    await this.container
+      .get(RequestPath)
+      .endOpenRequests(STOP_TIMEOUT_MILLISECONDS);
     this.container.get(Maintenance).stop();
     await this.container.get(PoolControllers).stop();
     this.container.get(ReplicaRouter).stop();
@@ -136,10 +155,15 @@
     this.container.get(Membership).stop();
     await this.container.get(PeerNetwork).stop();
     this.container.get(EndpointClients).retain(new Set());
-    await Promise.all([
-      closeServer(this.listeners.callers),
-      closeServer(this.listeners.operators),
-    ]);
+    const timeoutMilliseconds = Math.max(
+      0,
+      closeAt - clock.monotonicMilliseconds(),
+    );
+    await Promise.all(
+      [this.listeners.callers, this.listeners.operators].map(server =>
+        closeGracefully(server, {clock, timeoutMilliseconds}),
+      ),
+    );
     this.context.logger.event('hostStopped');
     this.stopController.abort();
   }
@@ -289,31 +313,30 @@
     const {clock, logger, settings} = this.context;
     const startedAt = clock.monotonicMilliseconds();
     const drainDeadline = startedAt + settings.drainTimeoutMilliseconds;
+    const dispatchMilliseconds =
+      settings.drainTimeoutMilliseconds * DISPATCH_SHARE_OF_DRAIN;
+    const requestPath = this.container.get(RequestPath);
     this.context.isDraining = true;
     logger.event('hostDraining');
+    clock.startTimer(dispatchMilliseconds, () => requestPath.stopDispatching());
     await this.container.get(PoolControllers).stop();
     await this.container
       .get(LeaseManager)
-      .releaseAll(LEASE_RELEASE_TIMEOUT_MILLISECONDS);
-    const requestPath = this.container.get(RequestPath);
+      .releaseAll(
+        Math.min(LEASE_RELEASE_TIMEOUT_MILLISECONDS, dispatchMilliseconds),
+      );
     const serveUntil = this.directory.addressesValidUntil();
     for (;;) {
       const now = clock.monotonicMilliseconds();
       if (now >= serveUntil && requestPath.activeRequests() === 0) break;
-      if (now >= drainDeadline) {
+      if (now >= drainDeadline - STOP_TIMEOUT_MILLISECONDS) {
         const open = requestPath.activeRequests();
         logger.event('drainTimedOut', {open});
+        requestPath.logOpenRequests();
         break;
       }
       await sleep(clock, DRAIN_POLL_INTERVAL_MILLISECONDS);
     }
-    await this.stop();
+    await this.stopBy(drainDeadline);
   }
 }
-
-async function closeServer(server: Server): Promise<void> {
-  await new Promise<void>(resolve => {
-    server.close(() => resolve());
-    server.closeAllConnections();
-  });
-}
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -35,6 +35,11 @@
     message:
       'Connections still in use were closed at the end of the grace period',
   },
+  dispatchStopped: {
+    number: 109,
+    level: 'info',
+    message: 'Host refuses requests that no endpoint has received',
+  },
   unexpectedFailure: {
     number: 190,
     level: 'error',
--- a/src/requests/open_request.ts
+++ b/src/requests/open_request.ts
@@ -21,6 +21,7 @@
 interface AbortReason {
   readonly code: RequestErrorCode;
   readonly message: string;
+  readonly retryAfterMilliseconds: number | undefined;
 }
 
 /** A request in progress. */
@@ -32,6 +33,7 @@
   /** API key of the request; undefined on open routes. */
   keyId: string | undefined;
   readonly requestId: string;
+  readonly openedAt: number;
   readonly deadlineAt: number;
   private readonly controller = new AbortController();
   private abortReason: AbortReason | undefined;
@@ -40,7 +42,8 @@
   constructor(private readonly options: OpenRequestOptions) {
     const {clock, timeoutMilliseconds} = options;
     this.requestId = options.requestId;
-    this.deadlineAt = clock.monotonicMilliseconds() + timeoutMilliseconds;
+    this.openedAt = clock.monotonicMilliseconds();
+    this.deadlineAt = this.openedAt + timeoutMilliseconds;
     this.cancelDeadline = clock.startTimer(timeoutMilliseconds, () => {
       const message = `The request took longer than ${timeoutMilliseconds} ms`;
       this.end(REQUEST_ERROR_CODES.deadlineExceeded, message);
@@ -78,16 +81,24 @@
   }
 
   /** Aborts the request with this error; only the first call takes effect. */
-  end(code: RequestErrorCode, message: string): void {
+  end(
+    code: RequestErrorCode,
+    message: string,
+    retryAfterMilliseconds?: number,
+  ): void {
     if (this.abortReason !== undefined) return;
-    this.abortReason = {code, message};
+    this.abortReason = {code, message, retryAfterMilliseconds};
     this.controller.abort();
   }
 
   /** The error with which the request was aborted, if it was. */
   abortError(): RequestError | undefined {
     if (this.abortReason === undefined) return undefined;
-    return this.error(this.abortReason.code, this.abortReason.message);
+    const {code, message, retryAfterMilliseconds} = this.abortReason;
+    return {
+      ...this.error(code, message),
+      ...(retryAfterMilliseconds === undefined ? {} : {retryAfterMilliseconds}),
+    };
   }
 
   /** Creates an error at the current step. */
--- a/src/requests/request_path.ts
+++ b/src/requests/request_path.ts
@@ -5,9 +5,11 @@
   REQUEST_STEPS,
   type RequestError,
   type Result,
+  RUN_STATES,
   success,
 } from '../errors/mod.ts';
 import {checkKeyId} from '../keys/mod.ts';
+import {sleep} from '../time/mod.ts';
 import {
   identifyCaller,
   mayCallModel,
@@ -28,11 +30,15 @@
 const LIST_TIMEOUT_MILLISECONDS = 10_000;
 /** Confirming the view takes one exchange with the peers or the table. */
 const VIEW_CONFIRMATION_MILLISECONDS = 1000;
+/** `Retry-After` of a draining host; its caller should try another host. */
+const DRAINING_RETRY_MILLISECONDS = 1000;
+const END_POLL_MILLISECONDS = 10;
 
 /** Dispatches callers' requests to endpoints and relays the responses. */
 export class RequestPath {
   private readonly context: RequestContext;
   private readonly openRequests = new Set<OpenRequest>();
+  private isDispatching = true;
 
   constructor(private readonly options: RequestPathOptions) {
     this.context = createContext(options);
@@ -54,7 +60,9 @@
     const open = this.openRequest(request, request.timeoutMilliseconds);
     try {
       await this.waitForView(open);
-      yield* this.admitModel(request, open);
+      const ended = open.abortError();
+      if (ended === undefined) yield* this.admitModel(request, open);
+      else yield {kind: 'failed', error: ended};
     } finally {
       this.closeRequest(open);
     }
@@ -68,7 +76,11 @@
     const timeout = route?.timeoutMilliseconds ?? UNROUTED_TIMEOUT_MILLISECONDS;
     const open = this.openRequest(request, timeout);
     await this.waitForView(open);
-    const admitted = this.admitService(request, open, route);
+    const ended = open.abortError();
+    const admitted =
+      ended === undefined
+        ? this.admitService(request, open, route)
+        : failure(ended);
     if (!admitted.ok) {
       this.closeRequest(open);
       return admitted;
@@ -137,6 +149,57 @@
     return this.openRequests.size;
   }
 
+  /**
+   * Refuses all requests that no endpoint has received, including later ones.
+   * Their callers can send them to another host.
+   */
+  stopDispatching(): void {
+    if (!this.isDispatching) return;
+    this.isDispatching = false;
+    const undispatched = [...this.openRequests].filter(
+      ({run}) => run === RUN_STATES.notRun,
+    );
+    const refused = undispatched.length;
+    this.options.logger.event('dispatchStopped', {refused});
+    for (const open of undispatched) refuseForDrain(open);
+  }
+
+  /**
+   * Ends all open requests and refuses later ones. Resolves once every request
+   * has ended, or after a time limit.
+   */
+  async endOpenRequests(timeLimitMilliseconds: number): Promise<void> {
+    const {clock} = this.options;
+    const deadlineAt = clock.monotonicMilliseconds() + timeLimitMilliseconds;
+    this.stopDispatching();
+    for (const open of this.openRequests) {
+      open.end(
+        REQUEST_ERROR_CODES.draining,
+        'This host shut down before the request ended',
+      );
+    }
+    while (this.openRequests.size > 0) {
+      const remaining = deadlineAt - clock.monotonicMilliseconds();
+      if (remaining <= 0) return;
+      await sleep(clock, Math.min(remaining, END_POLL_MILLISECONDS));
+    }
+  }
+
+  /** Logs every open request with its step, run state and age. */
+  logOpenRequests(): void {
+    const {clock, logger} = this.options;
+    const now = clock.monotonicMilliseconds();
+    for (const {requestId, step, run, openedAt} of this.openRequests) {
+      const ageMilliseconds = Math.round(now - openedAt);
+      logger.event('requestOpenAtStop', {
+        requestId,
+        step,
+        run,
+        ageMilliseconds,
+      });
+    }
+  }
+
   /**
    * Ends requests whose key was withdrawn or whose contract ended. Call it when
    * the authority changes, and about every second.
@@ -240,6 +303,7 @@
       timeoutMilliseconds,
     });
     this.openRequests.add(open);
+    if (!this.isDispatching) refuseForDrain(open);
     return open;
   }
 
@@ -248,3 +312,11 @@
     open.close();
   }
 }
+
+function refuseForDrain(open: OpenRequest): void {
+  open.end(
+    REQUEST_ERROR_CODES.draining,
+    'This host is shutting down',
+    DRAINING_RETRY_MILLISECONDS,
+  );
+}
