End requests that wait for a free connection at their time-outs

What callers saw: no response at all. When all connections that a host may open to an endpoint were in use, for example by long streams, a further request waited for one past its connect time-out, its deadline and the disconnect of its caller, until another request ended; a stop or a kill before that closed its connection without a response, though nothing had been sent. Cause: a ClientRequest that is destroyed in the queue of its agent emits no event before the agent has a connection for it, so sendToEndpoint did not resolve. Fix: sendToEndpoint resolves as unsent when it destroys a request that has no connection yet. The agent passes the connection on later; the test shows that the endpoint gets only the request before and the one after.

--- a/src/exchange/send_to_endpoint.ts
+++ b/src/exchange/send_to_endpoint.ts
@@ -76,6 +76,12 @@
       // link, so that the request does not arrive after it was aborted.
       if (connected) clientRequest.socket?.resetAndDestroy();
       clientRequest.destroy(new Error(reason));
+      // Node.js emits no event for a request that is destroyed in the queue of its
+      // agent until a connection is free.
+      if (clientRequest.socket === null) {
+        clearTimeout(timer);
+        resolve({kind: 'unsent', reason});
+      }
     };
     const abort = () => terminate('the request has ended');
     const timeoutHandler = (reason: string) => () => {
--- a/src/exchange/send_to_endpoint_test.ts
+++ b/src/exchange/send_to_endpoint_test.ts
@@ -1,6 +1,7 @@
+import {createServer as createHttpServer, type ServerResponse} from 'node:http';
 import {type AddressInfo, createServer, type Socket} from 'node:net';
 import {describe, expect, test} from 'vitest';
-import {EndpointAgent, sendToEndpoint} from './mod.ts';
+import {EndpointAgent, type SendOptions, sendToEndpoint} from './mod.ts';
 
 /** Exceeds the socket buffers of a loopback connection. */
 const LONG_BODY_BYTES = 16_000_000;
@@ -63,4 +64,59 @@
     for (const connection of paused) connection.destroy();
     await new Promise(resolve => server.close(resolve));
   });
+
+  // Guards against LOST: a request that waited for a free connection outlasted its
+  // time-outs and its caller until another request of the endpoint ended.
+  test.each([
+    {name: 'its time-out', connectTimeoutMilliseconds: 20, abortsAfter: 60_000},
+    {name: 'its abort', connectTimeoutMilliseconds: 60_000, abortsAfter: 20},
+  ])(
+    'a request that waits for a free connection ends at $name',
+    async ({connectTimeoutMilliseconds, abortsAfter}) => {
+      const paths: string[] = [];
+      const held: ServerResponse[] = [];
+      const server = createHttpServer((request, response) => {
+        paths.push(request.url ?? '');
+        if (request.url === '/holds') held.push(response);
+        else response.end('ok');
+      });
+      await new Promise<void>(resolve =>
+        server.listen(0, '127.0.0.1', resolve),
+      );
+      const agent = new EndpointAgent({
+        maximumConnections: 1,
+        idleTimeoutMilliseconds: 1000,
+      });
+      const send = (path: string, limits: Partial<SendOptions> = {}) =>
+        sendToEndpoint({
+          address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+          method: 'GET',
+          path,
+          headers: ['Host', 'h'],
+          body: Buffer.alloc(0),
+          agent,
+          connectTimeoutMilliseconds: 60_000,
+          responseTimeoutMilliseconds: 60_000,
+          signal: new AbortController().signal,
+          ...limits,
+        });
+      const holding = send('/holds');
+      await expect.poll(() => held.length).toBe(1);
+      const waiting = await send('/waits', {
+        connectTimeoutMilliseconds,
+        signal: AbortSignal.timeout(abortsAfter),
+      });
+      expect(waiting.kind).toBe('unsent');
+      for (const response of held) response.end('ok');
+      for (const sent of [await holding, await send('/next')]) {
+        if (sent.kind !== 'answer') throw new Error(sent.reason);
+        for await (const chunk of sent.message)
+          expect(String(chunk)).toBe('ok');
+      }
+      expect(paths).toEqual(['/holds', '/next']);
+      agent.destroy();
+      server.closeAllConnections();
+      await new Promise(resolve => server.close(resolve));
+    },
+  );
 });
