Refuse waiting requests before a host with a short grace period closes

What callers saw: "socket hang up" for requests that waited for a model at a host whose grace period is shorter than about 1.3 s (45% of it ended after the last 700 ms had begun); below 0.7 s, for each open request at once. Cause: the time reserved for closing was fixed, while the end of waits is a fraction of the grace period, so connections closed before waits ended. Evidence: planned_stop_test, case "when a stop within 0.9 s begins", failed with "Error: socket hang up". Fix: closing takes at most a quarter of the grace period, and waits end at 45% of it or earlier, so they end first at any grace period; from 2.8 s nothing changes.

--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -24,6 +24,9 @@
 /** Part of the grace period that is reserved for closing down. */
 const CLOSING_MILLISECONDS = 700;
 
+/** Maximum fraction of the grace period that is reserved for closing down. */
+const CLOSING_FRACTION = 0.25;
+
 /**
  * Maximum fraction of the grace period in which requests are still sent to
  * endpoints. The rest is left for them to finish.
@@ -67,6 +70,10 @@
     const startedAt = clock.monotonicMilliseconds();
     const elapsed = () => clock.monotonicMilliseconds() - startedAt;
     const grace = settings.graceSeconds * 1000;
+    const closingMilliseconds = Math.min(
+      CLOSING_MILLISECONDS,
+      grace * CLOSING_FRACTION,
+    );
     state.isDraining = true;
     logger.event('hostDraining', {open: relay.openRequestCount, grace});
     const registration = this.container.get(HostRegistration);
@@ -81,7 +88,7 @@
     void registration.register();
     this.container.get(FleetStateExchange).report();
     void this.container.get(PoolSupervisor).stop();
-    while (elapsed() < grace - CLOSING_MILLISECONDS) {
+    while (elapsed() < grace - closingMilliseconds) {
       if (elapsed() > staleAddressMilliseconds && relay.openRequestCount === 0)
         break;
       await sleep(clock, DRAIN_CHECK_MILLISECONDS);
@@ -92,7 +99,7 @@
     }
     await Promise.race([
       registration.deregister(),
-      sleep(clock, CLOSING_MILLISECONDS / 2),
+      sleep(clock, closingMilliseconds / 2),
     ]);
     this.hasStopped = true;
     this.container.get(StoreFollowers).stop();
--- a/src/entry/planned_stop_test.ts
+++ b/src/entry/planned_stop_test.ts
@@ -28,13 +28,26 @@
   // Guards against connections that are closed without a response: requests that
   // waited for a model outlasted the grace period of their host.
   test.each([
-    {name: 'when the stop begins', arrivesDuringStop: false},
-    {name: 'and arrives during the stop', arrivesDuringStop: true},
+    {
+      name: 'when the stop begins',
+      arrivesDuringStop: false,
+      graceSeconds: GRACE_SECONDS,
+    },
+    {
+      name: 'and arrives during the stop',
+      arrivesDuringStop: true,
+      graceSeconds: GRACE_SECONDS,
+    },
+    {
+      name: 'when a stop within 0.9 s begins',
+      arrivesDuringStop: false,
+      graceSeconds: 0.9,
+    },
   ])(
     'refuses a request that waits for a model $name',
-    async ({arrivesDuringStop}) => {
+    async ({arrivesDuringStop, graceSeconds}) => {
       const {host, callerPort} = await fleet.startHost('host-1', {
-        graceSeconds: GRACE_SECONDS,
+        graceSeconds,
       });
       const sendWaiting = () =>
         send(callerPort, {
