Send no request once more that an engine rejects late in a stop

What callers saw: a request that an engine rejected as not executed was sent to another engine by a stopping host after the time at which it refuses requests that are not at an endpoint, so its stream may not end before the host does. Cause: that time bounded new requests and waits, but acquire returns an endpoint that is free at once without regard to it. Evidence: planned_stop_test, "refuses a request that an engine rejects too late for another attempt": expected 200 to be 503. Fix: a request that no endpoint has executed is refused then, with a Retry-After of 50 ms, so that its caller goes to another host. Requests that may have been executed are retried as before. The test passes, npm test and npm run check are green.

--- a/src/entry/planned_stop_test.ts
+++ b/src/entry/planned_stop_test.ts
@@ -94,4 +94,38 @@
     await running;
     await stopped;
   });
+
+  // Guards against streams that are cut because a stopping host sent them once more
+  // after the time at which it refuses requests that are not at an endpoint.
+  test('refuses a request that an engine rejects too late for another attempt', async () => {
+    const other = await fleet.startEndpoint({
+      id: 'engine-2',
+      service: 'engines',
+      models: ['model-a'],
+    });
+    const engines = [engine, other];
+    const {host, callerPort} = await fleet.startHost('host-1', {
+      graceSeconds: 8,
+      addressLifetimeMilliseconds: 20,
+    });
+    for (const each of engines) {
+      each.trouble = 'sheds';
+      each.shedMilliseconds = ADDRESSES_EXPIRED_MS;
+    }
+    const waiting = send(callerPort, {
+      method: 'POST',
+      path: '/chat/x',
+      headers: {Model: 'model-a'},
+      body: 'opaque',
+    });
+    const idle = () => engines.filter(each => each.requestsUnderWay === 0);
+    await expect.poll(() => idle().length).toBe(1);
+    for (const each of idle()) each.trouble = 'none';
+    const stopped = host.drain();
+    const response = await waiting;
+    expect(response.status).toBe(503);
+    expect(response.headers['retry-after']).toBe('0.05');
+    expect(engines.flatMap(({ran}) => ran)).toEqual([]);
+    await stopped;
+  });
 });
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -19,7 +19,10 @@
 import {streamResponse} from './_stream_response.ts';
 import {targetOf} from './endpoint_source.ts';
 import type {RequestRelayOptions} from './relay_options.ts';
-import {connectionHeader} from './request_relay.ts';
+import {
+  connectionHeader,
+  DRAINING_RETRY_MILLISECONDS,
+} from './request_relay.ts';
 
 /** Connect time-out; the network latency to endpoints is a few milliseconds. */
 const CONNECT_TIMEOUT_MILLISECONDS = 500;
@@ -111,6 +114,12 @@
       if (outcome.kind === 'broken' || !outcome.mayRetrySameEndpoint) {
         this.excluded.add(acquired.value.incarnation);
       }
+      if (this.runCount === 0 && this.options.refusesNewRequests()) {
+        return {
+          ...this.error(REQUEST_ERROR_CODES.draining, outcome.reason, true),
+          retryAfterMilliseconds: DRAINING_RETRY_MILLISECONDS,
+        };
+      }
       if (!this.mayRetry(outcome.kind)) return this.giveUp(outcome);
       if (this.splitter.lastEventId !== undefined) {
         log.streamResumed(this.splitter.lastEventId);
--- a/src/relay/request_relay.ts
+++ b/src/relay/request_relay.ts
@@ -20,7 +20,7 @@
 const UNCONFIGURED_RETRY_MILLISECONDS = 500;
 
 /** Retry-After value sent by a stopping host; the retry goes to another host. */
-const DRAINING_RETRY_MILLISECONDS = 50;
+export const DRAINING_RETRY_MILLISECONDS = 50;
 
 /**
  * Request pipeline: matches a route, authenticates, admits, selects an
--- a/src/testing/platform_endpoint_stand_in.ts
+++ b/src/testing/platform_endpoint_stand_in.ts
@@ -56,6 +56,8 @@
 /** Stand-in of an engine or a plain service, after the platform's protocol page. */
 export class PlatformEndpointStandIn {
   trouble: EndpointTrouble = 'none';
+  /** Delay before an answer that says that the request did not run. */
+  shedMilliseconds = 0;
   /** Answers with which the trouble stops; unlimited when undefined. */
   troubles: number | undefined;
   readonly ran: SeenRequest[] = [];
@@ -191,7 +193,10 @@
       return;
     }
     if (trouble === 'sheds') {
-      response.writeHead(503, {'Not-Executed': '1'}).end();
+      setTimeout(
+        () => response.writeHead(503, {'Not-Executed': '1'}).end(),
+        this.shedMilliseconds,
+      );
       return;
     }
     this.ran.push({
