--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -27,6 +27,9 @@
 /** Part of the grace period that is reserved for the exit of the process. */
 const EXIT_MILLISECONDS = 100;
 
+/** Maximum fraction of the grace period that is reserved for closing down. */
+const CLOSING_FRACTION = 0.25;
+
 /**
  * Maximum fraction of the grace period in which requests are still sent to
  * endpoints. The rest is left for them to finish.
@@ -76,6 +79,10 @@
     const startedAt = clock.monotonicMilliseconds();
     const elapsed = () => clock.monotonicMilliseconds() - startedAt;
     const grace = settings.graceSeconds * 1000;
+    const closingMilliseconds = Math.min(
+      CLOSING_MILLISECONDS,
+      grace * CLOSING_FRACTION,
+    );
     state.isDraining = true;
     logger.event('hostDraining', {open: relay.openRequestCount, grace});
     const registration = this.container.get(HostRegistration);
@@ -90,7 +97,7 @@
     void registration.register();
     this.container.get(FleetStateExchange).report();
     void this.container.get(PoolSupervisor).stop();
-    while (elapsed() < grace - CLOSING_MILLISECONDS) {
+    while (elapsed() < grace - closingMilliseconds) {
       if (elapsed() > staleAddressMilliseconds && relay.openRequestCount === 0)
         break;
       await sleep(clock, DRAIN_CHECK_MILLISECONDS);
@@ -103,7 +110,7 @@
     await Promise.all([
       Promise.race([
         registration.deregister(),
-        sleep(clock, CLOSING_MILLISECONDS / 2),
+        sleep(clock, closingMilliseconds / 2),
       ]),
       this.container
         .get(EntryListeners)
--- a/src/entry/planned_stop_test.ts
+++ b/src/entry/planned_stop_test.ts
@@ -28,13 +28,26 @@
   // Guards against connections that are closed without a response: requests that
   // waited for a model outlasted the grace period of their host.
   test.each([
-    {name: 'when the stop begins', arrivesDuringStop: false},
-    {name: 'and arrives during the stop', arrivesDuringStop: true},
+    {
+      name: 'when the stop begins',
+      arrivesDuringStop: false,
+      graceSeconds: GRACE_SECONDS,
+    },
+    {
+      name: 'and arrives during the stop',
+      arrivesDuringStop: true,
+      graceSeconds: GRACE_SECONDS,
+    },
+    {
+      name: 'when a stop within 0.9 s begins',
+      arrivesDuringStop: false,
+      graceSeconds: 0.9,
+    },
   ])(
     'refuses a request that waits for a model $name',
-    async ({arrivesDuringStop}) => {
+    async ({arrivesDuringStop, graceSeconds}) => {
       const {host, callerPort} = await fleet.startHost('host-1', {
-        graceSeconds: GRACE_SECONDS,
+        graceSeconds,
       });
       const sendWaiting = () =>
         send(callerPort, {
@@ -121,4 +134,38 @@
     await running;
     await stopped;
   });
+
+  // Guards against streams that are cut because a stopping host sent them once more
+  // after the time at which it refuses requests that are not at an endpoint.
+  test('refuses a request that an engine rejects too late for another attempt', async () => {
+    const other = await fleet.startEndpoint({
+      id: 'engine-2',
+      service: 'engines',
+      models: ['model-a'],
+    });
+    const engines = [engine, other];
+    const {host, callerPort} = await fleet.startHost('host-1', {
+      graceSeconds: 8,
+      addressLifetimeMilliseconds: 20,
+    });
+    for (const each of engines) {
+      each.trouble = 'sheds';
+      each.shedMilliseconds = ADDRESSES_EXPIRED_MS;
+    }
+    const waiting = send(callerPort, {
+      method: 'POST',
+      path: '/chat/x',
+      headers: {Model: 'model-a'},
+      body: 'opaque',
+    });
+    const idle = () => engines.filter(each => each.requestsUnderWay === 0);
+    await expect.poll(() => idle().length).toBe(1);
+    for (const each of idle()) each.trouble = 'none';
+    const stopped = host.drain();
+    const response = await waiting;
+    expect(response.status).toBe(503);
+    expect(response.headers['retry-after']).toBe('0.05');
+    expect(engines.flatMap(({ran}) => ran)).toEqual([]);
+    await stopped;
+  });
 });
--- a/src/testing/platform_endpoint_stand_in.ts
+++ b/src/testing/platform_endpoint_stand_in.ts
@@ -60,6 +60,8 @@
   trouble: EndpointTrouble = 'none';
   /** Body of the answers that are no streams. */
   answerBody = 'the whole answer';
+  /** Delay before an answer that says that the request did not run. */
+  shedMilliseconds = 0;
   /** Answers with which the trouble stops; unlimited when undefined. */
   troubles: number | undefined;
   readonly ran: SeenRequest[] = [];
@@ -201,7 +203,10 @@
       return;
     }
     if (trouble === 'sheds') {
-      response.writeHead(503, {'Not-Executed': '1'}).end();
+      setTimeout(
+        () => response.writeHead(503, {'Not-Executed': '1'}).end(),
+        this.shedMilliseconds,
+      );
       return;
     }
     this.ran.push({
