--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -73,6 +73,8 @@
   private readonly excluded = new Set<string>();
   private readonly splitter = new EventSplitter();
   private readonly abortController = new AbortController();
+  /** Whether the current attempt has delivered an event or a whole response. */
+  private hasBegun = false;
   private dispatchCount = 0;
   private runCount = 0;
 
@@ -162,13 +164,18 @@
   private async attempt(endpoint: Endpoint): Promise<AttemptOutcome> {
     const target = targetOf(this.context.request.metadata);
     this.dispatchCount++;
+    this.hasBegun = false;
     this.context.log.recordDispatch(endpoint);
     endpoint.begin(target);
     try {
       const outcome = await this.sendAndHandleResponse(endpoint);
       if (outcome.kind !== 'delivered') {
         if (outcome.kind === 'broken') this.runCount++;
-        this.context.log.attemptFailed(outcome.reason, outcome.kind);
+        this.context.log.attemptFailed({
+          reason: outcome.reason,
+          run: outcome.kind,
+          hasBegun: this.hasBegun,
+        });
       }
       return outcome;
     } finally {
@@ -290,6 +297,7 @@
         this.recordBrokenEndpoint(endpoint);
       return {kind: 'broken', reason: 'answer broke off'};
     }
+    this.hasBegun = true;
     endpoint.condition.recordAnswer(endpointResponse.status >= 500);
     const deliver = () => {
       this.writeHead(endpointResponse, body.length);
@@ -329,6 +337,7 @@
       writeHead: first => {
         if (!response.headersSent) this.writeHead(first, undefined);
       },
+      onFirstEvent: () => (this.hasBegun = true),
       forwardsWholeEvents: request.route.resumable,
     });
     if (outcome === 'complete') {
--- a/src/relay/_request_log.ts
+++ b/src/relay/_request_log.ts
@@ -5,6 +5,15 @@
 import type {RequestRelayOptions} from './relay_options.ts';
 import type {RequestMetadata} from './request_metadata.ts';
 
+/** An attempt that yielded no response for the caller. */
+export interface AttemptFailure {
+  readonly reason: string;
+  /** Whether the endpoint may have executed the request. */
+  readonly run: 'not_run' | 'broken';
+  /** Whether the endpoint had delivered an event or a whole response. */
+  readonly hasBegun: boolean;
+}
+
 /** Collects the log fields of one request and writes its events and metrics. */
 export class RequestLog {
   route = '';
@@ -36,12 +45,13 @@
   }
 
   /** Logs an attempt that yielded no response for the caller. */
-  attemptFailed(reason: string, run: string): void {
+  attemptFailed(failure: AttemptFailure): void {
+    const {run} = failure;
     this.options.metrics.increment('limpetdale_attempts_failed_total', {run});
     this.options.logger.event('attemptFailed', {
       ...this.fields(),
-      reason,
-      run,
+      promptParts: this.metadata.promptParts.map(({id}) => id),
+      ...failure,
     });
   }
 
--- a/src/relay/_stream_response.ts
+++ b/src/relay/_stream_response.ts
@@ -8,6 +8,8 @@
   readonly splitter: EventSplitter;
   /** Writes the response head unless it has been sent; called before each write. */
   readonly writeHead: (endpointResponse: EndpointResponse) => void;
+  /** Called once, when the first complete event of this attempt has arrived. */
+  readonly onFirstEvent: () => void;
   /** Whether only complete events are forwarded, so that the stream can be resumed. */
   readonly forwardsWholeEvents: boolean;
 }
@@ -28,6 +30,7 @@
 ): Promise<StreamOutcome> {
   const {message} = endpointResponse;
   const {response, splitter, forwardsWholeEvents} = stream;
+  let hasBegun = false;
   return new Promise(resolve => {
     const finish = (outcome: StreamOutcome) => {
       response.removeListener('drain', resume);
@@ -37,6 +40,10 @@
     response.on('drain', resume);
     message.on('data', (chunk: Buffer) => {
       const events = splitter.push(chunk);
+      if (!hasBegun && events.length > 0) {
+        hasBegun = true;
+        stream.onFirstEvent();
+      }
       if (splitter.pendingBytes > MAXIMUM_EVENT_BYTES) {
         endpointResponse.abort();
         finish('broken');
--- a/src/relay/endless_response_test.ts
+++ b/src/relay/endless_response_test.ts
@@ -112,6 +112,7 @@
             response,
             splitter: new EventSplitter(),
             writeHead: () => undefined,
+            onFirstEvent: () => undefined,
             forwardsWholeEvents,
           }).then(resolve);
         });
