--- a/src/testing/platform_endpoint_stand_in.ts
+++ b/src/testing/platform_endpoint_stand_in.ts
@@ -58,6 +58,8 @@
   trouble: EndpointTrouble = 'none';
   /** Answers with which the trouble stops; unlimited when undefined. */
   troubles: number | undefined;
+  /** Part of a prompt that ends the process as soon as it begins to answer. */
+  deadlyPart: string | undefined;
   readonly ran: SeenRequest[] = [];
   readonly orders: {
     operation: string;
@@ -113,6 +115,11 @@
     return this.unanswered.size;
   }
 
+  /** Whether the process has ended. */
+  get hasEnded(): boolean {
+    return !this.server.listening;
+  }
+
   /** Writes the endpoint's row. */
   register(state: 'ready' | 'draining' = 'ready'): void {
     const {id, service, dataCentre} = this.options;
@@ -135,6 +142,7 @@
   /** Ends the process; its row stays until it lapses. */
   async stop(): Promise<void> {
     this.server.closeAllConnections();
+    if (this.hasEnded) return;
     await new Promise(resolve => this.server.close(resolve));
   }
 
@@ -214,6 +222,12 @@
       'Server-Signature': `signature-of-${this.options.id}`,
     };
     const whole = 'the whole answer';
+    const parts = String(request.headers['prompt-prefix'] ?? '').split(',');
+    if (parts.some(part => part.split(':')[0] === this.deadlyPart)) {
+      response.writeHead(200, own).flushHeaders();
+      setTimeout(() => void this.stop(), 10);
+      return;
+    }
     switch (trouble) {
       case 'hangs':
         return;
