Quarantine parts of prompts that crash engines

Callers of requests with one deadly part of a prompt, and of all requests beside them, saw engine after engine end: cut streams, 502, and 503 while engines restarted.

Cause: CrashTracker counts crashes by team, method, path and body. No two of these requests are alike, so no count reached its limit.

PromptPartQuarantine attributes crashes to the parts of prompts except the last. A crash counts if the connection ended before the first event of the run and the endpoint refuses new connections or has been replaced. A part without a success since its crash runs as one trial at a time in the fleet; its first event clears it on all hosts, a second crash, in the trial, blocks it. Parts that sound requests share succeed elsewhere and are cleared or never suspected. A retry within one request passes the same check.

--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -16,6 +16,7 @@
   type LoadReport,
 } from '../fleet/mod.ts';
 import {
+  type EndpointPreference,
   type EndpointSource,
   type RoutedRequest,
   targetOf,
@@ -85,6 +86,7 @@
     request: RoutedRequest,
     excluded: ReadonlySet<string>,
     signal: AbortSignal,
+    preference: EndpointPreference,
   ): Promise<Result<Endpoint, RequestError>> {
     const target = targetOf(request.metadata);
     const {service} = request;
@@ -103,7 +105,7 @@
       const candidates = isModelRequest
         ? this.options.replicas.holders(service.name, target)
         : this.options.registry.usable(service.name);
-      const chosen = this.choose(candidates, request, excluded);
+      const chosen = this.choose(candidates, request, excluded, preference);
       if (chosen !== undefined) return success(chosen);
       if (!isModelRequest) {
         return refusal(
@@ -188,8 +190,12 @@
     candidates: readonly Endpoint[],
     request: RoutedRequest,
     excluded: ReadonlySet<string>,
+    preference: EndpointPreference,
   ): Endpoint | undefined {
-    const session = request.metadata.promptParts.at(-2)?.id;
+    const session =
+      preference === 'affinity'
+        ? request.metadata.promptParts.at(-2)?.id
+        : undefined;
     return chooseEndpoint(candidates, {
       now: this.options.clock.monotonicMilliseconds(),
       excluded,
--- a/src/entry/_fleet_state_exchange_options.ts
+++ b/src/entry/_fleet_state_exchange_options.ts
@@ -3,7 +3,7 @@
 import type {FleetRateLimiter} from '../limits/mod.ts';
 import type {EventLogger} from '../observability/mod.ts';
 import type {PeerNetwork} from '../peers/mod.ts';
-import type {CrashTracker} from '../relay/mod.ts';
+import type {CrashTracker, PromptPartQuarantine} from '../relay/mod.ts';
 import type {TableUpdate} from '../stores/mod.ts';
 import type {Clock} from '../time/mod.ts';
 
@@ -19,6 +19,7 @@
   replicas: ReplicaMap;
   router: EndpointRouter;
   crashTracker: CrashTracker;
+  promptParts: PromptPartQuarantine;
   /** Called when a peer reports waiting requests, which may be for a pool managed here. */
   onDemandChanged: () => void;
   /** Called when the manager of a pool announced replicas or renewed its lease. */
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -9,10 +9,17 @@
   HostRegistry,
   type HostRow,
 } from '../fleet/mod.ts';
+import {isConnectionRefused} from '../exchange/mod.ts';
 import {FleetRateLimiter} from '../limits/mod.ts';
 import {type EventLogger, Metrics} from '../observability/mod.ts';
 import {type PeerIdentity, PeerNetwork} from '../peers/mod.ts';
-import {CrashTracker, FleetRetryBudget, RequestRelay} from '../relay/mod.ts';
+import {
+  CrashEvidence,
+  CrashTracker,
+  FleetRetryBudget,
+  PromptPartQuarantine,
+  RequestRelay,
+} from '../relay/mod.ts';
 import type {Clock} from '../time/mod.ts';
 import {ConfigurationSource} from './configuration_source.ts';
 import {EntryListeners} from './entry_listeners.ts';
@@ -39,6 +46,12 @@
 /** Fraction of an endpoint's connection limit that all hosts use together. */
 const CONNECTION_FRACTION = 0.8;
 
+/** Time-out of the connection that shows whether an endpoint has ended. */
+const CRASH_CHECK_MILLISECONDS = 300;
+
+/** Value of `hops` for an announcement that the receiver does not pass on. */
+const UNFORWARDED_HOPS = 2;
+
 /** Creates the dependency injection container of an entry host. */
 export function createEntryContainer(context: EntryContext): Container {
   const container = new Container({defaultScope: 'Singleton'});
@@ -143,6 +156,7 @@
         replicas: container.get(ReplicaMap),
         router: container.get(EndpointRouter),
         crashTracker: container.get(CrashTracker),
+        promptParts: container.get(PromptPartQuarantine),
         onDemandChanged: () => container.get(PoolSupervisor).notify(),
         onManagerAnnounced: (service, renewal) =>
           container.get(PoolSupervisor).recordManager(service, renewal),
@@ -153,14 +167,24 @@
         onTableUpdate: update => container.get(StoreFollowers).receive(update),
         missingTables: () => container.get(StoreFollowers).missingTables(),
         tableContent: table => container.get(StoreFollowers).content(table),
-        onPeerConnected: hostId =>
+        onPeerConnected: hostId => {
+          const peers = container.get(PeerNetwork);
           container.get(PoolSupervisor).announceTo(announcement =>
-            container.get(PeerNetwork).send(hostId, {
+            peers.send(hostId, {
               kind: 'replica_state',
               hops: 0,
               ...announcement,
             }),
-          ),
+          );
+          for (const change of container
+            .get(PromptPartQuarantine)
+            .currentChanges())
+            peers.send(hostId, {
+              kind: 'prompt_part',
+              hops: UNFORWARDED_HOPS,
+              ...change,
+            });
+        },
       }),
   );
 }
@@ -228,6 +252,33 @@
           }),
       }),
   );
+  container.bind(CrashEvidence).toDynamicValue(
+    () =>
+      new CrashEvidence({
+        clock,
+        isConnectionRefused: address =>
+          isConnectionRefused(address, CRASH_CHECK_MILLISECONDS),
+        isReplaced: ({record, incarnation}) => {
+          const current = container.get(EndpointRegistry).find(record.id);
+          return current !== undefined && current.incarnation !== incarnation;
+        },
+      }),
+  );
+  container.bind(PromptPartQuarantine).toDynamicValue(
+    () =>
+      new PromptPartQuarantine({
+        hostId: settings.hostId,
+        clock,
+        logger,
+        metrics: container.get(Metrics),
+        hasCrashed: endpoint =>
+          container.get(CrashEvidence).hasCrashed(endpoint),
+        announce: (service, change) =>
+          container
+            .get(FleetStateExchange)
+            .announce({kind: 'prompt_part', service, change}),
+      }),
+  );
   container.bind(RequestRelay).toDynamicValue(
     () =>
       new RequestRelay({
@@ -246,6 +297,7 @@
           share: () => shares().ofBudget(),
         }),
         crashGuard: container.get(CrashTracker),
+        promptParts: container.get(PromptPartQuarantine),
         isDraining: () => container.get(EntryState).isDraining,
         refusesNewRequests: () => container.get(EntryState).refusesNewRequests,
         random: Math.random,
--- a/src/entry/fleet_state_exchange.ts
+++ b/src/entry/fleet_state_exchange.ts
@@ -12,7 +12,11 @@
 
 /** A message that is passed on to hosts without a connection to its sender. */
 type Announcement = PeerMessageOf<
-  'table_update' | 'replica_state' | 'lease_resigned' | 'request_broke_endpoint'
+  | 'table_update'
+  | 'replica_state'
+  | 'lease_resigned'
+  | 'request_broke_endpoint'
+  | 'prompt_part'
 >;
 
 /** Interval between load reports. */
@@ -261,6 +265,10 @@
         crashTracker.receive(message.fingerprint, message.incarnation);
         this.passOn(from, message);
         return;
+      case 'prompt_part':
+        this.options.promptParts.receive(message.service, message.change);
+        this.passOn(from, message);
+        return;
       case 'table_update':
         this.receiveTableUpdate(from, message);
         return;
--- a/src/exchange/mod.ts
+++ b/src/exchange/mod.ts
@@ -22,3 +22,4 @@
   type SendOutcome,
 } from './send_to_endpoint.ts';
 export {discardResponse} from './discard_response.ts';
+export {isConnectionRefused} from './is_connection_refused.ts';
--- a/src/fleet/endpoint_registry.ts
+++ b/src/fleet/endpoint_registry.ts
@@ -39,6 +39,11 @@
     );
   }
 
+  /** Returns the current process of an endpoint. */
+  find(id: string): Endpoint | undefined {
+    return this.endpoints.get(id);
+  }
+
   /** Number of endpoints, including leaving ones. */
   get size(): number {
     return this.endpoints.size;
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -323,6 +323,34 @@
     message: 'Quarantine entry released',
   },
 
+  promptPartSuspected: {
+    number: 723,
+    level: 'warn',
+    message:
+      'Parts of a prompt suspected: an endpoint crashed before their request had begun',
+  },
+  promptPartTrialStarted: {
+    number: 724,
+    level: 'info',
+    message: 'Suspected parts of a prompt sent to an endpoint as a trial',
+  },
+  promptPartCleared: {
+    number: 725,
+    level: 'info',
+    message:
+      'Suspected parts of a prompt cleared: a request with them has begun',
+  },
+  promptPartBlocked: {
+    number: 726,
+    level: 'warn',
+    message: 'Parts of a prompt blocked: an endpoint crashed in their trial',
+  },
+  promptPartReleased: {
+    number: 727,
+    level: 'info',
+    message: 'Part of a prompt released by an operator',
+  },
+
   peerConnected: {number: 800, level: 'info', message: 'Peer connected'},
   peerDisconnected: {
     number: 801,
--- a/src/peers/peer_message.ts
+++ b/src/peers/peer_message.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {logEntrySchema} from '../contracts/mod.ts';
+import {promptPartChangeSchema} from './_prompt_part_change.ts';
 
 const version = z.number().int().nonnegative();
 const tokens = z.number().nonnegative();
@@ -241,6 +242,13 @@
     fingerprint: z.string(),
     incarnation: z.string(),
   }),
+  /** Reports a change of what is known about parts of prompts that may crash endpoints. */
+  z.object({
+    kind: z.literal('prompt_part'),
+    hops,
+    service: z.string(),
+    change: promptPartChangeSchema,
+  }),
   /** Reports that an endpoint crashed while it ran these requests. */
   z.object({
     kind: z.literal('suspect'),
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -1,10 +1,6 @@
-import type {ServerResponse} from 'node:http';
 import {
   REQUEST_ERROR_CODES,
-  REQUEST_STEPS,
   type RequestError,
-  type RequestErrorCode,
-  RUN_STATES,
   unreachable,
 } from '../errors/mod.ts';
 import {
@@ -14,27 +10,21 @@
   type SendOutcome,
 } from '../exchange/mod.ts';
 import type {Endpoint} from '../fleet/mod.ts';
+import type {AttemptContext} from './_attempt_context.ts';
+import type {AttemptOutcome} from './_attempt_outcome.ts';
 import {bufferResponse} from './_buffer_response.ts';
+import {dispatchError} from './_dispatch_error.ts';
 import {EventSplitter} from './_event_splitter.ts';
-import type {RequestLog} from './_request_log.ts';
+import {
+  mayRunAgain,
+  NOT_EXECUTED_STATUSES,
+  responseTimeout,
+} from './_retry_rules.ts';
 import {streamResponse} from './_stream_response.ts';
-import {type RoutedRequest, targetOf} from './endpoint_source.ts';
+import {writeResponseHead} from './_write_response_head.ts';
+import {targetOf} from './endpoint_source.ts';
+import type {PromptPartRun} from './prompt_part_guard.ts';
 import type {RequestRelayOptions} from './relay_options.ts';
-import {connectionHeader} from './request_relay.ts';
-
-/** An admitted request and the response to write to. */
-export interface AttemptContext {
-  readonly request: RoutedRequest;
-  readonly method: string;
-  readonly path: string;
-  readonly rawHeaders: readonly string[];
-  readonly body: Buffer;
-  readonly fingerprint: string;
-  readonly response: ServerResponse;
-  /** Aborted when the caller disconnects. */
-  readonly callerLeft: AbortSignal;
-  readonly log: RequestLog;
-}
 
 /** Connect time-out; the network latency to endpoints is a few milliseconds. */
 const CONNECT_TIMEOUT_MILLISECONDS = 500;
@@ -46,27 +36,10 @@
 const MAXIMUM_DISPATCHES = 4;
 
 /**
- * Fraction of the remaining time that an attempt at an idempotent request may
- * take. It leaves time for a retry when an endpoint does not respond.
+ * Fraction of the latency objective for which an attempt may wait for the trial of
+ * a suspected part of its prompt.
  */
-const RESPONSE_TIMEOUT_SHARE = 0.45;
-
-type AttemptOutcome =
-  | {readonly kind: 'delivered'}
-  | {
-      readonly kind: 'not_run';
-      readonly reason: string;
-      /** Whether the same endpoint may accept the request later. */
-      readonly mayRetrySameEndpoint: boolean;
-    }
-  | {
-      readonly kind: 'broken';
-      readonly reason: string;
-      /** Whether the endpoint's head did not arrive within the time-out. */
-      readonly timedOut?: boolean;
-      /** Forwards the endpoint's response when no attempt is left. */
-      readonly fallback?: () => void;
-    };
+const HOLD_SHARE = 0.4;
 
 /** Sends a request to endpoints until one responds or no retry is allowed. */
 export class AttemptLoop {
@@ -87,7 +60,7 @@
   async run(): Promise<RequestError | undefined> {
     const {callerLeft, request, fingerprint} = this.context;
     if (!this.options.crashGuard.allows(fingerprint)) {
-      return this.error(
+      return dispatchError(
         REQUEST_ERROR_CODES.quarantined,
         'The request has crashed several endpoints',
         true,
@@ -107,22 +80,33 @@
 
   private async attemptUntilDone(): Promise<RequestError | undefined> {
     const {request, callerLeft, log} = this.context;
-    const {clock, endpoints} = this.options;
+    const {clock, endpoints, promptParts} = this.options;
+    const {signal} = this.abortController;
+    let holdUntil = this.holdUntil();
     for (;;) {
       const waitStartedAt = clock.monotonicMilliseconds();
+      const turn = await promptParts.waitForTurn(request, holdUntil, signal);
+      if (callerLeft.aborted) return undefined;
+      if (turn.kind === 'refused') return this.refuse(turn.error);
       const acquired = await endpoints.acquire(
         request,
         this.excluded,
-        this.abortController.signal,
+        signal,
+        turn.kind === 'trial' ? 'least_loaded' : 'affinity',
       );
       log.waitedMilliseconds += clock.monotonicMilliseconds() - waitStartedAt;
       if (callerLeft.aborted) return undefined;
-      if (!acquired.ok) {
-        return this.runCount === 0
-          ? acquired.error
-          : this.error(acquired.error.code, acquired.error.message, false);
+      if (!acquired.ok) return this.refuse(acquired.error);
+      const run = await promptParts.begin(
+        {request, endpoint: acquired.value, holdUntil},
+        signal,
+      );
+      if (callerLeft.aborted) {
+        run?.end();
+        return undefined;
       }
-      const outcome = await this.attempt(acquired.value);
+      if (run === undefined) continue;
+      const outcome = await this.attempt(acquired.value, run);
       if (outcome.kind === 'delivered' || callerLeft.aborted) return undefined;
       if (outcome.kind === 'broken' || !outcome.mayRetrySameEndpoint) {
         this.excluded.add(acquired.value.incarnation);
@@ -131,9 +115,23 @@
       if (this.splitter.lastEventId !== undefined) {
         log.streamResumed(this.splitter.lastEventId);
       }
+      holdUntil = this.holdUntil();
     }
   }
 
+  /** Time until which the next attempt may wait for a trial of its prompt. */
+  private holdUntil(): number {
+    const {clock} = this.options;
+    const {objectiveMilliseconds} = this.context.request.route;
+    return clock.monotonicMilliseconds() + objectiveMilliseconds * HOLD_SHARE;
+  }
+
+  private refuse(error: RequestError): RequestError {
+    return this.runCount === 0
+      ? error
+      : dispatchError(error.code, error.message, false);
+  }
+
   private giveUp(
     outcome: Exclude<AttemptOutcome, {kind: 'delivered'}>,
   ): RequestError | undefined {
@@ -146,29 +144,33 @@
       hasTimedOut || this.remaining() <= 0
         ? REQUEST_ERROR_CODES.deadlineExceeded
         : REQUEST_ERROR_CODES.endpointFailed;
-    return this.error(code, outcome.reason, this.runCount === 0);
+    return dispatchError(code, outcome.reason, this.runCount === 0);
   }
 
   private mayRetry(kind: 'not_run' | 'broken'): boolean {
     const {route, service} = this.context.request;
     if (this.remaining() <= 0 || this.dispatchCount >= MAXIMUM_DISPATCHES)
       return false;
-    if (kind === 'broken') {
-      if (route.kind === 'non_idempotent') return false;
-      if (route.kind === 'streaming' && !route.resumable) return false;
-      if (this.runCount >= route.maximumAttempts) return false;
-    }
+    if (kind === 'broken' && !mayRunAgain(route, this.runCount)) return false;
     return this.options.retryBudget.tryConsume(service.name);
   }
 
-  private async attempt(endpoint: Endpoint): Promise<AttemptOutcome> {
+  private async attempt(
+    endpoint: Endpoint,
+    run: PromptPartRun,
+  ): Promise<AttemptOutcome> {
     const target = targetOf(this.context.request.metadata);
     this.dispatchCount++;
     this.hasBegun = false;
     this.context.log.recordDispatch(endpoint);
     endpoint.begin(target);
     try {
-      const outcome = await this.sendAndHandleResponse(endpoint);
+      const outcome = await this.sendAndHandleResponse(endpoint, run);
+      const isDisconnected =
+        outcome.kind === 'broken' && outcome.isDisconnected === true;
+      if (isDisconnected && !this.hasBegun && !this.isAborted) {
+        await run.recordBroken();
+      }
       if (outcome.kind !== 'delivered') {
         if (outcome.kind === 'broken') this.runCount++;
         this.context.log.attemptFailed({
@@ -179,18 +181,20 @@
       }
       return outcome;
     } finally {
+      run.end();
       endpoint.end(target);
     }
   }
 
   private async sendAndHandleResponse(
     endpoint: Endpoint,
+    run: PromptPartRun,
   ): Promise<AttemptOutcome> {
     const sent = await this.send(endpoint);
     const {condition} = endpoint;
     switch (sent.kind) {
       case 'unsent':
-        if (!this.abortController.signal.aborted) {
+        if (!this.isAborted) {
           condition.recordConnectFailure(
             this.options.clock.monotonicMilliseconds(),
           );
@@ -201,11 +205,15 @@
           mayRetrySameEndpoint: false,
         };
       case 'unknown':
-        if (!this.abortController.signal.aborted)
-          this.recordBrokenEndpoint(endpoint);
-        return {kind: 'broken', reason: sent.reason, timedOut: sent.timedOut};
+        if (!this.isAborted) this.recordBrokenEndpoint(endpoint);
+        return {
+          kind: 'broken',
+          reason: sent.reason,
+          timedOut: sent.timedOut,
+          isDisconnected: !sent.timedOut,
+        };
       case 'answer':
-        return this.handleResponse(endpoint, sent);
+        return this.handleResponse(endpoint, sent, run);
       default:
         return unreachable(sent);
     }
@@ -229,24 +237,19 @@
       body,
       agent: endpoint.agent,
       connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
-      responseTimeoutMilliseconds: this.responseTimeoutMilliseconds(remaining),
+      responseTimeoutMilliseconds: responseTimeout(
+        request.route,
+        this.runCount,
+        remaining,
+      ),
       signal: this.abortController.signal,
     });
   }
 
-  private responseTimeoutMilliseconds(remaining: number): number {
-    const {route} = this.context.request;
-    const hasAnother =
-      route.kind === 'idempotent' && this.runCount + 1 < route.maximumAttempts;
-    return Math.max(
-      1,
-      hasAnother ? remaining * RESPONSE_TIMEOUT_SHARE : remaining,
-    );
-  }
-
   private async handleResponse(
     endpoint: Endpoint,
     endpointResponse: EndpointResponse,
+    run: PromptPartRun,
   ): Promise<AttemptOutcome> {
     const {wireFormat, endpoints} = this.options;
     const {request, log} = this.context;
@@ -280,31 +283,37 @@
     }
     const isSuccess = status >= 200 && status < 300;
     return isSuccess && request.route.kind === 'streaming'
-      ? this.relayStream(endpoint, endpointResponse)
-      : this.relayBuffered(endpoint, endpointResponse, isSuccess);
+      ? this.relayStream(endpoint, endpointResponse, run)
+      : this.relayBuffered(endpoint, endpointResponse, run);
   }
 
   private async relayBuffered(
     endpoint: Endpoint,
     endpointResponse: EndpointResponse,
-    isSuccess: boolean,
+    run: PromptPartRun,
   ): Promise<AttemptOutcome> {
     const {request, response, log} = this.context;
+    const {wireFormat} = this.options;
+    const {status} = endpointResponse;
+    const isSuccess = status >= 200 && status < 300;
     const body = await bufferResponse(endpointResponse);
     if (body === undefined) {
       endpointResponse.abort();
-      if (!this.abortController.signal.aborted)
-        this.recordBrokenEndpoint(endpoint);
-      return {kind: 'broken', reason: 'answer broke off'};
+      if (!this.isAborted) this.recordBrokenEndpoint(endpoint);
+      return {
+        kind: 'broken',
+        reason: 'answer broke off',
+        isDisconnected: true,
+      };
     }
-    this.hasBegun = true;
+    this.recordBegun(run);
     endpoint.condition.recordAnswer(endpointResponse.status >= 500);
     const deliver = () => {
-      this.writeHead(endpointResponse, body.length);
+      writeResponseHead(response, endpointResponse, wireFormat, body.length);
       response.end(body);
       log.served(endpointResponse.status, true);
     };
-    if (!isSuccess && NOT_EXECUTED_STATUSES.has(endpointResponse.status)) {
+    if (!isSuccess && NOT_EXECUTED_STATUSES.has(status)) {
       // Callers take these statuses to mean that the request was not executed,
       // but it may have been.
       return {
@@ -329,18 +338,24 @@
   private async relayStream(
     endpoint: Endpoint,
     endpointResponse: EndpointResponse,
+    run: PromptPartRun,
   ): Promise<AttemptOutcome> {
     const {request, response, log} = this.context;
+    const {wireFormat} = this.options;
     const outcome = await streamResponse(endpointResponse, {
       response,
       splitter: this.splitter,
       writeHead: first => {
-        if (!response.headersSent) this.writeHead(first, undefined);
+        if (!response.headersSent)
+          writeResponseHead(response, first, wireFormat);
       },
-      onFirstEvent: () => (this.hasBegun = true),
+      onFirstEvent: () => this.recordBegun(run),
       forwardsWholeEvents: request.route.resumable,
     });
     if (outcome === 'complete') {
+      // Without framing, a crash before the first event looks like an empty stream.
+      if (!this.hasBegun && !endpointResponse.isFramed)
+        await run.recordBroken();
       endpoint.condition.recordAnswer(false);
       response.end();
       log.served(endpointResponse.status, true);
@@ -348,29 +363,21 @@
     }
     endpointResponse.abort();
     this.splitter.discardIncompleteEvent();
-    if (!this.abortController.signal.aborted)
-      this.recordBrokenEndpoint(endpoint);
-    return {kind: 'broken', reason: 'stream broke off'};
+    if (!this.isAborted) this.recordBrokenEndpoint(endpoint);
+    return {
+      kind: 'broken',
+      reason: 'stream broke off',
+      isDisconnected: true,
+    };
   }
 
-  /**
-   * Writes the head of an endpoint's response. If the endpoint sent neither a
-   * Content-Length nor chunks, none are added: the end of such a body may be due
-   * to a crash, and framing by this host would make it look complete.
-   */
-  private writeHead(
-    endpointResponse: EndpointResponse,
-    bodyBytes: number | undefined,
-  ): void {
-    const {response} = this.context;
-    response.useChunkedEncodingByDefault = endpointResponse.isFramed;
-    response.writeHead(endpointResponse.status, [
-      ...connectionHeader(response),
-      ...this.options.wireFormat.responseHeaders(endpointResponse.message),
-      ...(endpointResponse.isFramed && bodyBytes !== undefined
-        ? ['Content-Length', String(bodyBytes)]
-        : []),
-    ]);
+  private recordBegun(run: PromptPartRun): void {
+    this.hasBegun = true;
+    run.recordBegun();
+  }
+
+  private get isAborted(): boolean {
+    return this.abortController.signal.aborted;
   }
 
   private recordBrokenEndpoint(endpoint: Endpoint): void {
@@ -387,22 +394,4 @@
       this.options.clock.monotonicMilliseconds()
     );
   }
-
-  private error(
-    code: RequestErrorCode,
-    message: string,
-    isNotRun: boolean,
-  ): RequestError {
-    return {
-      code,
-      message,
-      step: REQUEST_STEPS.dispatch,
-      run: isNotRun ? RUN_STATES.notRun : RUN_STATES.unknown,
-    };
-  }
 }
-
-/** Statuses that tell callers that a request was not executed. */
-const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([
-  408, 421, 429, 503,
-]);
--- a/src/relay/endpoint_source.ts
+++ b/src/relay/endpoint_source.ts
@@ -17,6 +17,13 @@
   readonly arrivedAt: number;
 }
 
+/** Which of several suitable endpoints is chosen. */
+export type EndpointPreference =
+  /** The one that keeps the session's prompt, at similar load. */
+  | 'affinity'
+  /** The one with the lowest load. */
+  | 'least_loaded';
+
 /** Selects endpoints for requests. */
 export interface EndpointSource {
   /**
@@ -30,6 +37,7 @@
     request: RoutedRequest,
     excluded: ReadonlySet<string>,
     signal: AbortSignal,
+    preference: EndpointPreference,
   ): Promise<Result<Endpoint, RequestError>>;
   /** Records that an endpoint refused a request because it was full or lacked the model. */
   noteRefused(request: RoutedRequest, endpoint: Endpoint): void;
--- a/src/relay/mod.ts
+++ b/src/relay/mod.ts
@@ -14,6 +14,7 @@
   WireFormat,
 } from './wire_format.ts';
 export {
+  type EndpointPreference,
   type EndpointSource,
   type RoutedRequest,
   targetOf,
@@ -27,6 +28,19 @@
 export {RequestRelay} from './request_relay.ts';
 export type {PromptPart, RequestMetadata} from './request_metadata.ts';
 export {CrashTracker, type CrashTrackerOptions} from './crash_tracker.ts';
+export {CrashEvidence, type CrashEvidenceOptions} from './crash_evidence.ts';
+export type {
+  PromptPartGuard,
+  PromptPartRun,
+  PromptPartTurn,
+  RunCandidate,
+} from './prompt_part_guard.ts';
+export {
+  type PromptPartChange,
+  PromptPartQuarantine,
+  type PromptPartQuarantineOptions,
+  type PromptPartReport,
+} from './prompt_part_quarantine.ts';
 export {
   FleetRetryBudget,
   type FleetRetryBudgetOptions,
--- a/src/relay/relay_options.ts
+++ b/src/relay/relay_options.ts
@@ -2,6 +2,7 @@
 import type {EventLogger, Metrics} from '../observability/mod.ts';
 import type {Clock} from '../time/mod.ts';
 import type {WireFormat} from './wire_format.ts';
+import type {PromptPartGuard} from './prompt_part_guard.ts';
 import type {EndpointSource} from './endpoint_source.ts';
 
 /** Admits requests within the rate limits of teams. */
@@ -42,6 +43,7 @@
   rateLimiter: RateLimiter;
   retryBudget: RetryBudget;
   crashGuard: CrashGuard;
+  promptParts: PromptPartGuard;
   /** Whether connections are closed after their response. */
   isDraining: () => boolean;
   /** Whether new requests are refused because the host is about to stop. */
