Do not register a stand-in endpoint after it has ended

npm test printed an unhandled error, once in two runs, after all tests had passed: a load that was ordered before an engine's end registered the engine afterwards, in deadly_prompt_part_test.ts. An ended process takes no orders to their end.

--- a/src/testing/platform_endpoint_stand_in.ts
+++ b/src/testing/platform_endpoint_stand_in.ts
@@ -316,6 +316,7 @@
     this.busy = true;
     response.writeHead(202).end();
     setTimeout(() => {
+      if (this.hasEnded) return;
       if (order.operation === 'load') this.held.set(order.model, new Set());
       else this.held.delete(order.model);
       this.busy = false;
