Treat a stream that ends inside an event as broken off

Callers of a stream that cannot be resumed got a part of an event and a regular end when the engine's response ended inside the event: a chunked response was ended as complete, and the log said that it was served. Cause: the end of an event was only checked where whole events are forwarded. Such a stream now counts as broken off, and its connection is closed without the final chunk.

--- a/src/relay/_stream_response.ts
+++ b/src/relay/_stream_response.ts
@@ -58,7 +58,7 @@
       const complete =
         message.complete &&
         !endpointResponse.hasConnectionFailed() &&
-        (!forwardsWholeEvents || splitter.pendingBytes === 0);
+        splitter.pendingBytes === 0;
       if (complete) stream.writeHead(endpointResponse);
       finish(complete ? 'complete' : 'broken');
     });
--- /dev/null
+++ b/src/relay/_stream_response_test.ts
@@ -0,0 +1,102 @@
+import {createServer as createHttpServer} from 'node:http';
+import {type AddressInfo, createServer, type Server} from 'node:net';
+import {afterEach, describe, expect, test} from 'vitest';
+import {EndpointAgent, sendToEndpoint} from '../exchange/mod.ts';
+import {send} from '../testing/platform_caller.ts';
+import {EventSplitter} from './_event_splitter.ts';
+import {streamResponse} from './_stream_response.ts';
+
+const WHOLE = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
+const CUT = 'id: 1\ndata: a\n\nid: 2\nda';
+
+const servers: Server[] = [];
+const agent = new EndpointAgent({
+  maximumConnections: 4,
+  idleTimeoutMilliseconds: 1000,
+});
+
+afterEach(async () => {
+  agent.destroy();
+  await Promise.all(
+    servers
+      .splice(0)
+      .map(server => new Promise(resolve => server.close(resolve))),
+  );
+});
+
+/** Responds to one request and closes the connection. */
+async function startEndpoint(response: string): Promise<string> {
+  const server = createServer(connection => {
+    connection.once('data', () => connection.end(response));
+  });
+  servers.push(server);
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function responseWith(body: string, isFramed: boolean): string {
+  const head = 'HTTP/1.1 200 OK\r\nConnection: close\r\n';
+  return isFramed
+    ? `${head}Transfer-Encoding: chunked\r\n\r\n` +
+        `${body.length.toString(16)}\r\n${body}\r\n0\r\n\r\n`
+    : `${head}\r\n${body}`;
+}
+
+describe('streamResponse', () => {
+  const cases = [true, false].flatMap(isFramed =>
+    [true, false].flatMap(forwardsWholeEvents => [
+      {
+        end: 'after an event',
+        isFramed,
+        forwardsWholeEvents,
+        body: WHOLE,
+        outcome: 'complete',
+      },
+      {
+        end: 'inside an event',
+        isFramed,
+        forwardsWholeEvents,
+        body: CUT,
+        outcome: 'broken',
+      },
+    ]),
+  );
+  // Guards against ORDER and MIXED violations: an endpoint crashed within an event
+  // of a stream without a length, and the stream was passed on as complete.
+  test.each(cases)(
+    'a stream that ends $end is $outcome (framed $isFramed, whole events only $forwardsWholeEvents)',
+    async ({isFramed, forwardsWholeEvents, body, outcome}) => {
+      const sent = await sendToEndpoint({
+        address: await startEndpoint(responseWith(body, isFramed)),
+        method: 'GET',
+        path: '/',
+        headers: ['Host', 'h'],
+        body: Buffer.alloc(0),
+        agent,
+        connectTimeoutMilliseconds: 1000,
+        responseTimeoutMilliseconds: 1000,
+        signal: new AbortController().signal,
+      });
+      if (sent.kind !== 'answer') throw new Error(sent.reason);
+      const ended = new Promise<string>(resolve => {
+        const host = createHttpServer((_request, response) => {
+          void streamResponse(sent, {
+            response,
+            splitter: new EventSplitter(),
+            writeHead: () => undefined,
+            onFirstEvent: () => undefined,
+            forwardsWholeEvents,
+          }).then(result => {
+            response.end();
+            resolve(result);
+          });
+        });
+        servers.push(host);
+        host.listen(0, '127.0.0.1', () => {
+          void send((host.address() as AddressInfo).port, {path: '/'});
+        });
+      });
+      expect(await ended).toBe(outcome);
+    },
+  );
+});
