--- a/src/engines/removed_model_test.ts
+++ b/src/engines/removed_model_test.ts
@@ -104,6 +104,7 @@
         requestFor(admittedTo, 0),
         new Set(),
         new AbortController().signal,
+        'affinity',
       )
       .then(result => (outcome = result));
     await clock.advanceAsync(2500);
--- a/src/relay/request_relay.ts
+++ b/src/relay/request_relay.ts
@@ -10,8 +10,10 @@
   type RequestStep,
   RUN_STATES,
 } from '../errors/mod.ts';
-import {readBody} from './_read_body.ts';
 import {AttemptLoop} from './_attempt_loop.ts';
+import {connectionHeader} from './_connection_header.ts';
+import {drainingError} from './_draining_error.ts';
+import {readBody} from './_read_body.ts';
 import {RequestLog} from './_request_log.ts';
 import type {RoutedRequest} from './endpoint_source.ts';
 import type {RequestRelayOptions} from './relay_options.ts';
@@ -20,9 +22,6 @@
 /** Retry-After value sent while this host has no configuration. */
 const UNCONFIGURED_RETRY_MILLISECONDS = 500;
 
-/** Retry-After value sent by a stopping host; the retry goes to another host. */
-export const DRAINING_RETRY_MILLISECONDS = 50;
-
 /**
  * Request pipeline: matches a route, authenticates, admits, selects an
  * endpoint, forwards the request and decides on retries. Bodies are opaque.
@@ -112,13 +111,13 @@
     }
     log.configurationVersion = index.configuration.version;
     const {signal} = this.stopController;
-    if (signal.aborted) return drainingError();
+    if (signal.aborted) return drainingError(REQUEST_STEPS.admit);
     const received = await readBody(
       request,
       index.configuration.limits.bodyBytes,
       signal,
     );
-    if (received.kind === 'stopped') return drainingError();
+    if (received.kind === 'stopped') return drainingError(REQUEST_STEPS.admit);
     if (received.kind === 'broken') return undefined;
     if (received.kind === 'too_large') {
       return notRunError(
@@ -134,7 +133,7 @@
     const admitted = this.admit(request, current, context);
     if ('code' in admitted) return admitted;
     if (this.options.refusesNewRequests()) {
-      return drainingError();
+      return drainingError(REQUEST_STEPS.admit);
     }
     const loop = new AttemptLoop(this.options, {
       request: admitted,
@@ -262,26 +261,6 @@
   readonly callerLeft: AbortSignal;
 }
 
-/**
- * Returns a Connection header that closes the connection of a draining host. It is
- * decided when the head is written, since the drain may begin after the request
- * has arrived.
- */
-export function connectionHeader({
-  isDraining,
-}: Pick<RequestRelayOptions, 'isDraining'>): string[] {
-  return isDraining() ? ['Connection', 'close'] : [];
-}
-
-function drainingError(): RequestError {
-  return notRunError(
-    REQUEST_ERROR_CODES.draining,
-    REQUEST_STEPS.admit,
-    'This host is stopping',
-    DRAINING_RETRY_MILLISECONDS,
-  );
-}
-
 function notRunError(
   code: RequestErrorCode,
   step: RequestStep,
--- a/src/testing/platform_endpoint_stand_in.ts
+++ b/src/testing/platform_endpoint_stand_in.ts
@@ -64,6 +64,8 @@
   shedMilliseconds = 0;
   /** Answers with which the trouble stops; unlimited when undefined. */
   troubles: number | undefined;
+  /** Part of a prompt that ends the process as soon as it begins to answer. */
+  deadlyPart: string | undefined;
   readonly ran: SeenRequest[] = [];
   readonly orders: {
     operation: string;
@@ -120,6 +122,11 @@
     return this.unanswered.size;
   }
 
+  /** Whether the process has ended. */
+  get hasEnded(): boolean {
+    return !this.server.listening;
+  }
+
   /** Writes the endpoint's row. */
   register(state: 'ready' | 'draining' = 'ready'): void {
     const {id, service, dataCentre} = this.options;
@@ -147,6 +154,7 @@
   /** Ends the process; its row stays until it lapses. */
   async stop(): Promise<void> {
     this.server.closeAllConnections();
+    if (this.hasEnded) return;
     await new Promise(resolve => this.server.close(resolve));
   }
 
@@ -229,6 +237,12 @@
       'Server-Signature': `signature-of-${this.options.id}`,
     };
     const whole = this.answerBody;
+    const parts = String(request.headers['prompt-prefix'] ?? '').split(',');
+    if (parts.some(part => part.split(':')[0] === this.deadlyPart)) {
+      response.writeHead(200, own).flushHeaders();
+      setTimeout(() => void this.stop(), 10);
+      return;
+    }
     switch (trouble) {
       case 'hangs':
         this.hanging.push(() => response.writeHead(200, own).end(whole));
@@ -321,6 +335,7 @@
     this.busy = true;
     response.writeHead(202).end();
     setTimeout(() => {
+      if (this.hasEnded) return;
       if (order.operation === 'load') this.held.set(order.model, new Set());
       else this.held.delete(order.model);
       this.busy = false;
