Let operators list and release suspected and blocked prompt parts

An operator could not see which parts are blocked other than from the log, nor undo a wrong block before its time.

--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -3,6 +3,7 @@
 import {EndpointRouter, ReplicaMap} from '../engines/mod.ts';
 import {
   EndpointRegistry,
+  FINAL_HOPS,
   FleetLoad,
   FleetShares,
   FleetTopology,
@@ -49,9 +50,6 @@
 /** Time-out of the connection that shows whether an endpoint has ended. */
 const CRASH_CHECK_MILLISECONDS = 300;
 
-/** Value of `hops` for an announcement that the receiver does not pass on. */
-const UNFORWARDED_HOPS = 2;
-
 /** Creates the dependency injection container of an entry host. */
 export function createEntryContainer(context: EntryContext): Container {
   const container = new Container({defaultScope: 'Singleton'});
@@ -181,7 +179,7 @@
             .currentChanges())
             peers.send(hostId, {
               kind: 'prompt_part',
-              hops: UNFORWARDED_HOPS,
+              hops: FINAL_HOPS,
               ...change,
             });
         },
@@ -312,6 +310,7 @@
         relay: container.get(RequestRelay),
         topology: container.get(FleetTopology),
         metrics: container.get(Metrics),
+        promptParts: container.get(PromptPartQuarantine),
         isReady: () =>
           !container.get(EntryState).isDraining &&
           container.get(ConfigurationSource).index !== undefined,
--- a/src/entry/entry_listeners.ts
+++ b/src/entry/entry_listeners.ts
@@ -7,9 +7,10 @@
 import type {CallerLimits} from '../deployment/mod.ts';
 import type {FleetTopology} from '../fleet/mod.ts';
 import type {EventLogger, Metrics} from '../observability/mod.ts';
-import type {RequestRelay} from '../relay/mod.ts';
+import type {PromptPartQuarantine, RequestRelay} from '../relay/mod.ts';
 import type {EntrySettings} from './entry_settings.ts';
 import type {PlatformAdapter} from './platform_adapter.ts';
+import {handlePromptParts, PROMPT_PARTS_PATH} from './prompt_part_api.ts';
 
 /** Options of {@link EntryListeners}. */
 export interface EntryListenersOptions {
@@ -18,6 +19,7 @@
   relay: RequestRelay;
   topology: FleetTopology;
   metrics: Metrics;
+  promptParts: Pick<PromptPartQuarantine, 'report' | 'release'>;
   logger: EventLogger;
   isReady: () => boolean;
 }
@@ -58,7 +60,9 @@
       createServer((request, response) =>
         this.handleAddressQuery(request, response),
       ),
-      createServer((_request, response) => void this.handleMetrics(response)),
+      createServer((request, response) =>
+        this.handleOperator(request, response),
+      ),
     ];
   }
 
@@ -128,6 +132,12 @@
       .end(body);
   }
 
+  private handleOperator(request: IncomingMessage, response: ServerResponse) {
+    if (request.url?.startsWith(PROMPT_PARTS_PATH) === true)
+      handlePromptParts(request, response, this.options.promptParts);
+    else void this.handleMetrics(response);
+  }
+
   private async handleMetrics(response: ServerResponse): Promise<void> {
     const body = await this.options.metrics.render();
     response.writeHead(200, {'Content-Type': 'text/plain'}).end(body);
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -46,6 +46,7 @@
 } from './fleet_load.ts';
 export {chooseEndpoint, type ChooseEndpointOptions} from './choose_endpoint.ts';
 export {
+  FINAL_HOPS,
   type Forwarding,
   type ForwardingInput,
   planForwarding,
--- a/src/fleet/plan_forwarding.ts
+++ b/src/fleet/plan_forwarding.ts
@@ -20,7 +20,7 @@
 }
 
 /** Hops of an announcement that is not passed on any further. */
-const FINAL_HOPS = 2;
+export const FINAL_HOPS = 2;
 
 /**
  * Decides to whom a host passes an announcement on. One of an active host goes on
