Keep the log lines of each test's own hosts apart

Trace: hosts of the former test, which have drained but whose peer network runs on in the same process, logged peerConnected into the lines of the next test, so that its two hosts got requests before they were connected and could share what they saw.

--- a/src/entry/deadly_prompt_part_test.ts
+++ b/src/entry/deadly_prompt_part_test.ts
@@ -86,6 +86,8 @@
 
 async function startHost(hostId: string): Promise<void> {
   const [callers, readiness, directory, peers] = await freePorts(4);
+  // Hosts of an earlier test may still write lines.
+  const hostLines = lines;
   const host = await EntryHost.start({
     settings: entrySettings(hostId, store.address, {
       callers: callers!,
@@ -94,7 +96,7 @@
       peers: peers!,
     }),
     clock: new SystemClock(),
-    logger: createEventLogger({write: line => lines.push(line)}),
+    logger: createEventLogger({write: line => hostLines.push(line)}),
     platform: createPlatform({
       address: store.address,
       timeoutMilliseconds: 500,
