Do not take an endpoint with busy connections for an unreachable one

Evidence: the outcome did not tell the two apart; send_to_endpoint_test checks wasQueued now. The request itself goes to another endpoint, as before.

--- a/src/exchange/send_to_endpoint.ts
+++ b/src/exchange/send_to_endpoint.ts
@@ -43,6 +43,8 @@
       /** The endpoint has received no byte of the request. */
       readonly kind: 'unsent';
       readonly reason: string;
+      /** Whether it ended while all connections to the endpoint were in use. */
+      readonly wasQueued: boolean;
     }
   | {
       /** The request was sent and may have been executed. */
@@ -56,7 +58,11 @@
   const [host, port] = options.address.split(':');
   return new Promise(resolve => {
     if (options.signal.aborted) {
-      resolve({kind: 'unsent', reason: 'the caller has left'});
+      resolve({
+        kind: 'unsent',
+        reason: 'the caller has left',
+        wasQueued: false,
+      });
       return;
     }
     let connected = false;
@@ -80,7 +86,7 @@
       // agent until a connection is free.
       if (clientRequest.socket === null) {
         clearTimeout(timer);
-        resolve({kind: 'unsent', reason});
+        resolve({kind: 'unsent', reason, wasQueued: true});
       }
     };
     const abort = () => terminate('the request has ended');
@@ -119,7 +125,7 @@
       clearTimeout(timer);
       const reason = error.code ?? error.message;
       if (!connected || isConnectFailureCode(error.code ?? '')) {
-        resolve({kind: 'unsent', reason});
+        resolve({kind: 'unsent', reason, wasQueued: false});
       } else {
         resolve({kind: 'unknown', reason, timedOut});
       }
--- a/src/exchange/send_to_endpoint_test.ts
+++ b/src/exchange/send_to_endpoint_test.ts
@@ -106,7 +106,7 @@
         connectTimeoutMilliseconds,
         signal: AbortSignal.timeout(abortsAfter),
       });
-      expect(waiting.kind).toBe('unsent');
+      expect(waiting).toMatchObject({kind: 'unsent', wasQueued: true});
       for (const response of held) response.end('ok');
       for (const sent of [await holding, await send('/next')]) {
         if (sent.kind !== 'answer') throw new Error(sent.reason);
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -209,7 +209,8 @@
     const {condition} = endpoint;
     switch (sent.kind) {
       case 'unsent':
-        if (!this.isAborted) {
+        // An endpoint whose connections are all in use is busy, not broken.
+        if (!this.isAborted && !sent.wasQueued) {
           condition.recordConnectFailure(
             this.options.clock.monotonicMilliseconds(),
           );
