Create the error of a stopping host in one place

The router and the relay had the same Retry-After in two constants. No change of behaviour but for the text of the router's message; tests of engines, entry and relay pass.

--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -17,6 +17,7 @@
   type LoadReport,
 } from '../fleet/mod.ts';
 import {
+  drainingError,
   type EndpointPreference,
   type EndpointSource,
   type RoutedRequest,
@@ -51,9 +52,6 @@
  */
 const REFUSED_DEMAND_LIFETIME_MILLISECONDS = 2500;
 
-/** Retry-After of a stopping host; the retry goes to another host. */
-const STOPPING_RETRY_AFTER_MILLISECONDS = 50;
-
 /** Share of the time left to a caller after which it retries at the latest. */
 const RETURN_SHARE = 1 / 3;
 
@@ -266,11 +264,7 @@
       now;
     if (now < deadline && readyAt < deadline) return undefined;
     if (deadline === this.waitsEndAt) {
-      return refusal(
-        REQUEST_ERROR_CODES.draining,
-        `This host stops before "${target}" is loaded`,
-        STOPPING_RETRY_AFTER_MILLISECONDS,
-      );
+      return failure(drainingError(REQUEST_STEPS.place));
     }
     const retryAfter = Math.max(RETRY_AFTER_MILLISECONDS, readyAt - now);
     this.refused.set(`${service} ${target}`, {
--- a/src/relay/mod.ts
+++ b/src/relay/mod.ts
@@ -25,6 +25,7 @@
   RequestRelayOptions,
   RetryBudget,
 } from './relay_options.ts';
+export {drainingError} from './draining_error.ts';
 export {RequestRelay} from './request_relay.ts';
 export type {PromptPart, RequestMetadata} from './request_metadata.ts';
 export {CrashTracker, type CrashTrackerOptions} from './crash_tracker.ts';
--- a/src/relay/request_relay.ts
+++ b/src/relay/request_relay.ts
@@ -12,7 +12,7 @@
 } from '../errors/mod.ts';
 import {AttemptLoop} from './_attempt_loop.ts';
 import {connectionHeader} from './_connection_header.ts';
-import {drainingError} from './_draining_error.ts';
+import {drainingError} from './draining_error.ts';
 import {readBody} from './_read_body.ts';
 import {RequestLog} from './_request_log.ts';
 import type {RoutedRequest} from './endpoint_source.ts';
