--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -1,4 +1,3 @@
-import {randomUUID} from 'node:crypto';
 import {Container} from 'inversify';
 import {EndpointRouter, ReplicaMap} from '../engines/mod.ts';
 import {
@@ -8,7 +7,6 @@
   FleetShares,
   FleetTopology,
   HostRegistry,
-  type HostRow,
 } from '../fleet/mod.ts';
 import {isConnectionRefused} from '../exchange/mod.ts';
 import {FleetRateLimiter} from '../limits/mod.ts';
@@ -23,6 +21,7 @@
 } from '../relay/mod.ts';
 import type {Clock} from '../time/mod.ts';
 import {ConfigurationSource} from './configuration_source.ts';
+import {createIdentity, hostRow} from './_host_identity.ts';
 import {EntryListeners} from './entry_listeners.ts';
 import type {EntrySettings} from './entry_settings.ts';
 import {EntryState} from './entry_state.ts';
@@ -64,16 +63,6 @@
   return container;
 }
 
-function createIdentity(settings: EntrySettings): PeerIdentity {
-  return {
-    hostId: settings.hostId,
-    incarnation: randomUUID(),
-    dataCentre: settings.dataCentre,
-    peerAddress: `ws://${settings.address}:${settings.peerPort}`,
-    callerAddress: settings.callers,
-  };
-}
-
 function bindFleet(
   container: Container,
   context: EntryContext,
@@ -196,19 +185,6 @@
   return Math.max(2, Math.floor(limit * share));
 }
 
-function hostRow(
-  self: PeerIdentity,
-  {processor, linkMegabits}: EntrySettings,
-  state: EntryState,
-): HostRow {
-  return {
-    ...self,
-    state: state.isDraining ? 'leaving' : 'ready',
-    cores: processor.share * processor.speed,
-    linkMegabits,
-  };
-}
-
 function bindRequests(container: Container, context: EntryContext): void {
   const {clock, logger, platform, settings} = context;
   container
