--- a/src/stores/table_follower.ts
+++ b/src/stores/table_follower.ts
@@ -120,7 +120,7 @@
     while (!signal.aborted) {
       const freshFor = this.freshFor();
       if (freshFor > 0) {
-        const delay = Math.min(freshFor, LONGEST_SLEEP_MILLISECONDS);
+        const delay = Math.min(Math.ceil(freshFor), LONGEST_SLEEP_MILLISECONDS);
         await sleep(clock, delay, signal);
         continue;
       }
--- a/src/testing/manual_clock.ts
+++ b/src/testing/manual_clock.ts
@@ -13,7 +13,9 @@
 export class ManualClock implements Clock {
   private elapsed = 0;
   private nextSequence = 0;
-  private readonly timers = new Set<ManualTimer>();
+  /** Pending timers in a binary heap, the next one first. */
+  private readonly heap: ManualTimer[] = [];
+  private readonly cancelled = new WeakSet<ManualTimer>();
 
   constructor(private readonly startedAt = new Date('2030-01-01T00:00:00Z')) {}
 
@@ -31,9 +33,9 @@
       sequence: this.nextSequence++,
       callback,
     };
-    this.timers.add(timer);
+    this.push(timer);
     return () => {
-      this.timers.delete(timer);
+      this.cancelled.add(timer);
     };
   }
 
@@ -63,27 +65,62 @@
   }
 
   private runTimer(timer: ManualTimer): void {
-    this.timers.delete(timer);
+    this.pop();
     this.elapsed = Math.max(this.elapsed, timer.dueAt);
     timer.callback();
   }
 
   private nextTimerUntil(end: number): ManualTimer | undefined {
-    let next: ManualTimer | undefined;
-    for (const timer of this.timers) {
-      if (timer.dueAt > end) continue;
-      if (
-        next === undefined ||
-        timer.dueAt < next.dueAt ||
-        (timer.dueAt === next.dueAt && timer.sequence < next.sequence)
-      ) {
-        next = timer;
+    for (;;) {
+      const [next] = this.heap;
+      if (next === undefined || next.dueAt > end) return undefined;
+      if (!this.cancelled.has(next)) return next;
+      this.pop();
+    }
+  }
+
+  private push(timer: ManualTimer): void {
+    const {heap} = this;
+    let index = heap.length;
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      const above = heap[parent];
+      if (above === undefined || isBefore(above, timer)) break;
+      heap[index] = above;
+      index = parent;
+    }
+    heap[index] = timer;
+  }
+
+  private pop(): void {
+    const {heap} = this;
+    const last = heap.pop();
+    if (last === undefined || heap.length === 0) return;
+    let index = 0;
+    for (;;) {
+      let child = 2 * index + 1;
+      const [left, right] = [heap[child], heap[child + 1]];
+      if (left === undefined) break;
+      let next = left;
+      if (right !== undefined && isBefore(right, left)) {
+        next = right;
+        child++;
       }
+      if (isBefore(last, next)) break;
+      heap[index] = next;
+      index = child;
     }
-    return next;
+    heap[index] = last;
   }
 }
 
+function isBefore(left: ManualTimer, right: ManualTimer): boolean {
+  return (
+    left.dueAt < right.dueAt ||
+    (left.dueAt === right.dueAt && left.sequence < right.sequence)
+  );
+}
+
 /** Several turns of the microtask queue, so that chained promises settle. */
 async function settlePromises(): Promise<void> {
   for (let turn = 0; turn < 20; turn++) await Promise.resolve();
