Count the age of rows from the answer of the store, on the way as well

What callers saw: on a fleet of 84 hosts a route was served by an older version 3.6 s after the acknowledgement of the next one, and requests reached an endpoint that had said 3.0 s before that it leaves.

Cause: an update carried the age that the copy had when its sender wrote it, and its receiver counted on from its arrival. What the update waited in the queues of links of 10 Mbit/s and in busy hosts was not counted. A host behind a busy forwarding host took updates of seconds ago for fresh ones and did not read the store. Class of fault: a relative time that is passed on without the time it takes to pass it on.

Why this works: an update states the time of the store's steady clock up to which it is known. Each host relates that clock to its own by its calls to the store and by the updates themselves (StoreClock), so an age includes every queue on the way and no hop has to add anything. No message is added. The protocol between hosts is now version 2; hosts of different versions read the store themselves.

Elsewhere: recoveries of the store were passed on in the same way and use the same clock now. Renewals and resignations of leases err to the safe side: a late one makes a successor wait longer. The daemon's hosts count the age of a view from their own question (heartbeat.askedAt).

--- a/src/engines/pool_lease_test.ts
+++ b/src/engines/pool_lease_test.ts
@@ -32,6 +32,7 @@
           : success({
               rows: this.row === undefined ? [] : [this.row],
               version: this.row?.version ?? 0,
+              storeMilliseconds: 0,
             }),
       followTable: async () => unavailable,
       commit: async changes => {
@@ -52,7 +53,11 @@
       return success<CommitOutcome>({kind: 'conflict', rows});
     }
     this.row = {key: change.key, value: change.value, version: version + 1};
-    return success<CommitOutcome>({kind: 'committed', version: version + 1});
+    return success<CommitOutcome>({
+      kind: 'committed',
+      version: version + 1,
+      storeMilliseconds: 0,
+    });
   }
 }
 
--- a/src/engines/pool_manager_test.ts
+++ b/src/engines/pool_manager_test.ts
@@ -15,9 +15,10 @@
 function createStore(): RowStore {
   let version = 0;
   return {
-    readTable: async () => success({rows: [], version}),
-    followTable: async () => success({rows: [], version}),
-    commit: async () => success({kind: 'committed', version: ++version}),
+    readTable: async () => success({rows: [], version, storeMilliseconds: 0}),
+    followTable: async () => success({rows: [], version, storeMilliseconds: 0}),
+    commit: async () =>
+      success({kind: 'committed', version: ++version, storeMilliseconds: 0}),
   };
 }
 
--- a/src/entry/_table_message.ts
+++ b/src/entry/_table_message.ts
@@ -33,7 +33,7 @@
         isCompressed,
       };
     }),
-    regainedMilliseconds: update.regainedMilliseconds ?? null,
+    regainedAt: update.regainedAt ?? null,
   };
 }
 
@@ -49,7 +49,7 @@
         version,
         value: value === null ? undefined : decodeValue(value, isCompressed),
       })),
-      regainedMilliseconds: message.regainedMilliseconds ?? undefined,
+      regainedAt: message.regainedAt ?? undefined,
     });
   } catch (error) {
     return failure({reason: String(error)});
--- a/src/entry/_table_message_test.ts
+++ b/src/entry/_table_message_test.ts
@@ -13,8 +13,8 @@
       isComplete: false,
       version: 7,
       rows: [{key: 'config', version: 7, value}],
-      ageMilliseconds: 20,
-      regainedMilliseconds: undefined,
+      knownAt: 20,
+      regainedAt: undefined,
     };
     const message = encodeTableUpdate(update);
     expect(decodeTableUpdate({...message, hops: 0})).toMatchObject({
@@ -39,8 +39,8 @@
           isCompressed: true,
         },
       ],
-      ageMilliseconds: 20,
-      regainedMilliseconds: null,
+      knownAt: 20,
+      regainedAt: null,
     });
     expect(decoded.ok).toBe(false);
   });
@@ -60,8 +60,8 @@
       isComplete: false,
       version: 7,
       rows: [{key: 'config', version: 7, value}],
-      ageMilliseconds: 20,
-      regainedMilliseconds: undefined,
+      knownAt: 20,
+      regainedAt: undefined,
     }).rows;
     expect(row?.value?.length).toBeLessThan(value.length / 4);
   });
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -19,6 +19,7 @@
   PromptPartQuarantine,
   RequestRelay,
 } from '../relay/mod.ts';
+import {StoreClock} from '../stores/mod.ts';
 import type {Clock} from '../time/mod.ts';
 import {ConfigurationSource} from './configuration_source.ts';
 import {createIdentity, hostRow} from './_host_identity.ts';
@@ -321,11 +322,13 @@
         },
       }),
   );
+  container.bind(StoreClock).toDynamicValue(() => new StoreClock({clock}));
   container.bind(StoreFollowers).toDynamicValue(
     () =>
       new StoreFollowers({
         platform,
         clock,
+        storeClock: container.get(StoreClock),
         logger,
         configuration: container.get(ConfigurationSource),
         endpoints: container.get(EndpointRegistry),
@@ -347,6 +350,7 @@
       new HostRegistration({
         store: platform.store,
         clock,
+        storeClock: container.get(StoreClock),
         logger,
         row: () => container.get(HostRegistry).self,
       }),
--- a/src/entry/host_registration.ts
+++ b/src/entry/host_registration.ts
@@ -1,6 +1,6 @@
 import {encodeHostRow, type HostRow} from '../fleet/mod.ts';
 import type {EventLogger} from '../observability/mod.ts';
-import type {RowStore} from '../stores/mod.ts';
+import type {RowStore, StoreClock} from '../stores/mod.ts';
 import {type Clock, sleep} from '../time/mod.ts';
 
 /** Table in which hosts discover each other. */
@@ -10,6 +10,7 @@
 export interface HostRegistrationOptions {
   store: RowStore;
   clock: Clock;
+  storeClock: StoreClock;
   logger: EventLogger;
   /** Returns the row of this host; called for each write. */
   row: () => HostRow;
@@ -41,11 +42,16 @@
   }
 
   private async write(value: Buffer | undefined): Promise<boolean> {
-    const {store, logger, row} = this.options;
+    const {store, clock, storeClock, logger, row} = this.options;
+    const startedAt = clock.monotonicMilliseconds();
     const outcome = await store.commit([
       {table: HOST_TABLE, key: row().hostId, value, expectedVersion: undefined},
     ]);
-    if (outcome.ok) return true;
+    if (outcome.ok) {
+      if (outcome.value.kind === 'committed')
+        storeClock.recordCall({startedAt, ...outcome.value});
+      return true;
+    }
     logger.event('hostRowWriteFailed', {...outcome.error});
     return false;
   }
--- a/src/entry/late_updates_test.ts
+++ b/src/entry/late_updates_test.ts
@@ -3,12 +3,13 @@
 import {EndpointRegistry, HostRegistry} from '../fleet/mod.ts';
 import {SILENT_LOGGER} from '../observability/mod.ts';
 import {createPlatform} from '../platform/mod.ts';
-import type {
-  Row,
-  RowPage,
-  RowStore,
-  RowStoreError,
-  TableUpdate,
+import {
+  type Row,
+  type RowPage,
+  type RowStore,
+  type RowStoreError,
+  StoreClock,
+  type TableUpdate,
 } from '../stores/mod.ts';
 import {ManualClock} from '../testing/manual_clock.ts';
 import {ConfigurationSource} from './configuration_source.ts';
@@ -17,6 +18,8 @@
 const BOUND_MILLISECONDS = 3000;
 const CALL_MILLISECONDS = 4;
 const LINK_MILLISECONDS = 2;
+/** Time of the store's clock when the clocks of the hosts start. */
+const STORE_START = 70_000;
 const HEARTBEAT_MILLISECONDS = 100;
 /** Hosts that forward updates to the others, each to its share of them. */
 const ACTIVE_HOSTS = 16;
@@ -58,6 +61,7 @@
     const page = (table: string, after: number): RowPage => ({
       rows: (this.rows.get(table) ?? []).filter(row => row.version > after),
       version: this.version,
+      storeMilliseconds: STORE_START + this.clock.monotonicMilliseconds(),
     });
     type Reply = Result<RowPage, RowStoreError>;
     return {
@@ -154,6 +158,7 @@
     const followers = new StoreFollowers({
       platform: {...platform, store: store.client()},
       clock,
+      storeClock: new StoreClock({clock}),
       logger: SILENT_LOGGER,
       configuration,
       endpoints,
--- a/src/entry/store_followers.ts
+++ b/src/entry/store_followers.ts
@@ -9,6 +9,7 @@
 import {
   type Row,
   type RowSource,
+  type StoreClock,
   TableFollower,
   type TableUpdate,
 } from '../stores/mod.ts';
@@ -21,6 +22,7 @@
 export interface StoreFollowersOptions {
   platform: PlatformAdapter;
   clock: Clock;
+  storeClock: StoreClock;
   logger: EventLogger;
   configuration: ConfigurationSource;
   endpoints: EndpointRegistry;
@@ -104,9 +106,15 @@
   private readonly publishedEndpoints = new Map<string, string>();
 
   constructor(private readonly options: StoreFollowersOptions) {
-    const {platform, clock, logger, publish} = options;
+    const {platform, clock, storeClock, logger, publish} = options;
     const {drainMilliseconds, configurationMilliseconds} = options;
-    const common = {store: platform.store, clock, logger, publish};
+    const common = {
+      store: platform.store,
+      clock,
+      storeClock,
+      logger,
+      publish,
+    };
     // Standby hosts get their first copies from their upstream host. Until the
     // hosts are known, this host may become one.
     const isSupplied = () => options.rank() === undefined;
--- a/src/entry/store_followers_test.ts
+++ b/src/entry/store_followers_test.ts
@@ -3,7 +3,12 @@
 import {EndpointRegistry, HostRegistry} from '../fleet/mod.ts';
 import {SILENT_LOGGER} from '../observability/mod.ts';
 import {createPlatform} from '../platform/mod.ts';
-import type {Row, RowStore, TableUpdate} from '../stores/mod.ts';
+import {
+  type Row,
+  type RowStore,
+  StoreClock,
+  type TableUpdate,
+} from '../stores/mod.ts';
 import {ManualClock} from '../testing/manual_clock.ts';
 import {ConfigurationSource} from './configuration_source.ts';
 import {StoreFollowers} from './store_followers.ts';
@@ -56,6 +61,7 @@
         return success({
           rows: table === platform.endpointTable ? rows : [],
           version,
+          storeMilliseconds: clock.monotonicMilliseconds(),
         });
       },
       followTable: async (table, after) => {
@@ -64,6 +70,7 @@
         return success({
           rows: table === platform.endpointTable ? changed : [],
           version,
+          storeMilliseconds: clock.monotonicMilliseconds(),
         });
       },
       commit: () => {
@@ -74,6 +81,7 @@
     const followers = new StoreFollowers({
       platform: {...platform, store},
       clock,
+      storeClock: new StoreClock({clock}),
       logger: SILENT_LOGGER,
       configuration: new ConfigurationSource({
         platform,
--- a/src/peers/peer_identity.ts
+++ b/src/peers/peer_identity.ts
@@ -1,7 +1,7 @@
 import {z} from 'zod';
 
 /** Version of the protocol between hosts. */
-export const PEER_PROTOCOL_VERSION = 1;
+export const PEER_PROTOCOL_VERSION = 2;
 
 /** Schema of {@link PeerGreeting}. */
 export const peerGreetingSchema = z.object({
--- a/src/peers/peer_message.ts
+++ b/src/peers/peer_message.ts
@@ -181,8 +181,10 @@
         version,
       }),
     ),
-    ageMilliseconds: milliseconds,
-    regainedMilliseconds: milliseconds.nullable(),
+    /** Time of the store's clock at which the table was at `version`. */
+    knownAt: milliseconds,
+    /** Time of the store's clock at which the reader regained the store. */
+    regainedAt: milliseconds.nullable(),
   }),
   /** Number of requests for each model since the sending process started. */
   z.object({
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -49,7 +49,7 @@
       const {page} = response.value;
       rows.push(...page.rows);
       if (!page.hasMore || page.rows.length === 0) {
-        return success({rows, version: page.version});
+        return success({...page, rows});
       }
       // `source` is an inclusive lower bound; appending a zero byte to the last
       // key gives the next possible key.
@@ -106,7 +106,11 @@
     return success(
       status === STATUS_CONFLICT
         ? {kind: 'conflict', rows: page.rows}
-        : {kind: 'committed', version: page.version},
+        : {
+            kind: 'committed',
+            version: page.version,
+            storeMilliseconds: page.storeMilliseconds,
+          },
     );
   }
 
@@ -176,6 +180,7 @@
   return {
     rows: objectsOf(page['rows']).map(decodeRow),
     version: numberOf(page['schema_version']),
+    storeMilliseconds: numberOf(page['now_ms']),
     hasMore: page['has_more'] === true,
   };
 }
--- a/src/stores/mod.ts
+++ b/src/stores/mod.ts
@@ -56,6 +56,11 @@
   RowStore,
   RowStoreError,
 } from './row_store.ts';
+export {
+  type StoreCall,
+  StoreClock,
+  type StoreClockOptions,
+} from './store_clock.ts';
 export {
   type RowSource,
   TableFollower,
--- a/src/stores/row_store.ts
+++ b/src/stores/row_store.ts
@@ -14,6 +14,8 @@
   readonly rows: readonly Row[];
   /** Newest version of the store when the page was read. */
   readonly version: number;
+  /** Time of the store's steady clock in the response, in milliseconds. */
+  readonly storeMilliseconds: number;
 }
 
 /** Failure of a call to the store. */
@@ -38,7 +40,12 @@
 
 /** Outcome of a transaction to which the store responded. */
 export type CommitOutcome =
-  | {readonly kind: 'committed'; readonly version: number}
+  | {
+      readonly kind: 'committed';
+      readonly version: number;
+      /** Time of the store's steady clock in the response, in milliseconds. */
+      readonly storeMilliseconds: number;
+    }
   | {readonly kind: 'conflict'; readonly rows: readonly Row[]};
 
 /** Tables with versioned rows, conditional writes and change feeds. */
--- a/src/stores/table_follower.ts
+++ b/src/stores/table_follower.ts
@@ -1,6 +1,7 @@
 import type {EventLogger} from '../observability/mod.ts';
 import {type Clock, sleep} from '../time/mod.ts';
-import type {Row, RowStore} from './row_store.ts';
+import type {Row, RowPage, RowStore} from './row_store.ts';
+import type {StoreClock} from './store_clock.ts';
 
 /** Changes of a table that one host has read from the store, for its peers. */
 export interface TableUpdate {
@@ -11,10 +12,13 @@
   readonly isComplete: boolean;
   readonly version: number;
   readonly rows: readonly Row[];
-  /** Time since the sender knew the table to be at `version`. */
-  readonly ageMilliseconds: number;
-  /** Time since the sender regained the store; undefined if it never lost it. */
-  readonly regainedMilliseconds: number | undefined;
+  /** Time of the store's clock at which the table was known to be at `version`. */
+  readonly knownAt: number;
+  /**
+   * Time of the store's clock at which the reader regained the store; undefined if
+   * it never lost it.
+   */
+  readonly regainedAt: number | undefined;
 }
 
 /** Options of {@link TableFollower}. */
@@ -22,6 +26,8 @@
   store: RowStore;
   table: string;
   clock: Clock;
+  /** Clock of the store, shared by all followers of this host. */
+  storeClock: StoreClock;
   logger: EventLogger;
   /** Maximum time in milliseconds that one call waits for a change. */
   waitMilliseconds: number;
@@ -93,6 +99,8 @@
   private readonly rows = new Map<string, Row>();
   private startedAt = 0;
   private freshAt = Number.NEGATIVE_INFINITY;
+  /** {@link freshAt} on the store's clock. */
+  private knownAt = Number.NEGATIVE_INFINITY;
   /** Version after the last read of this host. */
   private readVersion: number | undefined;
   /** Version up to which peers know what this host has read without a gap. */
@@ -149,12 +157,15 @@
     const known = this.version;
     const hasGap = known === undefined || update.afterVersion > known;
     if (hasGap && !update.isComplete) return false;
-    const now = this.options.clock.monotonicMilliseconds();
-    if (update.regainedMilliseconds !== undefined) {
-      const regainedAt = now - update.regainedMilliseconds;
+    const {clock, storeClock} = this.options;
+    storeClock.recordUpdate(update.knownAt);
+    if (update.regainedAt !== undefined) {
+      const regainedAt = storeClock.toMonotonic(update.regainedAt);
       this.recoveredAt = Math.max(this.recoveredAt, regainedAt);
     }
-    const source = {origin: from, ageMilliseconds: update.ageMilliseconds};
+    const knownAt = storeClock.toMonotonic(update.knownAt);
+    const ageMilliseconds = clock.monotonicMilliseconds() - knownAt;
+    const source = {origin: from, ageMilliseconds};
     if (update.isComplete) {
       if (update.version <= (known ?? 0)) return true;
       this.version = update.version;
@@ -163,7 +174,7 @@
     } else {
       this.applyChanges(update.rows, update.version, source);
     }
-    this.freshAt = Math.max(this.freshAt, now - update.ageMilliseconds);
+    this.recordKnown(update.knownAt);
     this.recordSupply(from);
     return true;
   }
@@ -171,15 +182,14 @@
   /** The whole table as known here, for a peer that misses changes. */
   content(): TableUpdate | undefined {
     if (this.version === undefined) return undefined;
-    const now = this.options.clock.monotonicMilliseconds();
     return {
       table: this.options.table,
       afterVersion: 0,
       isComplete: true,
       version: this.version,
       rows: [...this.rows.values()],
-      ageMilliseconds: now - this.freshAt,
-      regainedMilliseconds: this.sinceRecovery(now),
+      knownAt: this.knownAt,
+      regainedAt: this.regainedAt(),
     };
   }
 
@@ -221,7 +231,7 @@
     if (knownVersion === undefined) {
       this.version = version;
       this.publishedVersion = version;
-      this.freshAt = startedAt;
+      this.recordRead(page.value, startedAt, 0);
       this.replaceRows(rows);
       this.options.onSnapshot(rows, this.ownSource());
       return true;
@@ -229,8 +239,7 @@
     // An empty page was written only after the wait, so the table is known up to
     // that time.
     const waited = rows.length === 0 ? waitMilliseconds : 0;
-    const now = clock.monotonicMilliseconds();
-    this.freshAt = Math.max(this.freshAt, Math.min(now, startedAt + waited));
+    this.recordRead(page.value, startedAt, waited);
     this.publish(rows, version);
     this.applyChanges(rows, version, this.ownSource());
     return true;
@@ -266,8 +275,8 @@
       isComplete: false,
       version,
       rows: significant,
-      ageMilliseconds: now - this.freshAt,
-      regainedMilliseconds: this.sinceRecovery(now),
+      knownAt: this.knownAt,
+      regainedAt: this.regainedAt(),
     });
     this.publishedVersion = version;
     this.publishedAt = now;
@@ -311,10 +320,32 @@
     });
   }
 
-  private sinceRecovery(now: number): number | undefined {
+  /**
+   * Records what a read shows about the age of the copy. The store may have read
+   * the rows long before it responded, so they are known as of the start of the
+   * call and its wait only.
+   */
+  private recordRead(page: RowPage, startedAt: number, waited: number): void {
+    const {clock, storeClock} = this.options;
+    const {storeMilliseconds} = page;
+    storeClock.recordCall({startedAt, storeMilliseconds});
+    const now = clock.monotonicMilliseconds();
+    const knownAt = Math.min(now, startedAt + waited);
+    this.freshAt = Math.max(this.freshAt, knownAt);
+    this.knownAt = Math.max(this.knownAt, storeMilliseconds - now + knownAt);
+  }
+
+  /** Records that the copy is known up to a time of the store's clock. */
+  private recordKnown(knownAt: number): void {
+    const {storeClock} = this.options;
+    this.freshAt = Math.max(this.freshAt, storeClock.toMonotonic(knownAt));
+    this.knownAt = Math.max(this.knownAt, knownAt);
+  }
+
+  private regainedAt(): number | undefined {
     return this.recoveredAt === Number.NEGATIVE_INFINITY
       ? undefined
-      : now - this.recoveredAt;
+      : this.options.storeClock.toStore(this.recoveredAt);
   }
 
   private handleFailure(kind: string, reason: string): void {
--- a/src/stores/table_follower_test.ts
+++ b/src/stores/table_follower_test.ts
@@ -6,6 +6,7 @@
   type Row,
   type RowPage,
   type RowStore,
+  StoreClock,
   TableFollower,
   type TableUpdate,
 } from './mod.ts';
@@ -30,6 +31,7 @@
     return this.respond(() => ({
       rows: [...this.shared.rows],
       version: this.shared.version,
+      storeMilliseconds: this.clock.monotonicMilliseconds(),
     }));
   }
 
@@ -37,6 +39,7 @@
     return this.respond(() => ({
       rows: this.shared.rows.filter(row => row.version > after),
       version: this.shared.version,
+      storeMilliseconds: this.clock.monotonicMilliseconds(),
     }));
   }
 
@@ -105,6 +108,7 @@
       store: new SlowStore(clock, id => !faults.cut.has(id), host, shared),
       table: 'servers',
       clock,
+      storeClock: new StoreClock({clock}),
       logger: SILENT_LOGGER,
       waitMilliseconds: 0,
       pauseMilliseconds: () => 100,
@@ -136,6 +140,7 @@
     store: new SlowStore(clock, () => true, 0, shared),
     table: 'servers',
     clock,
+    storeClock: new StoreClock({clock}),
     logger: SILENT_LOGGER,
     waitMilliseconds: 0,
     pauseMilliseconds: () => 100,
@@ -230,8 +235,8 @@
       isComplete: false,
       version: known + 40,
       rows,
-      ageMilliseconds: 0,
-      regainedMilliseconds: undefined,
+      knownAt: clock.monotonicMilliseconds(),
+      regainedAt: undefined,
     });
     expect(versions[1]).toBe(known);
     await clock.advanceAsync(3000);
--- a/src/testing/platform_store_stand_in.ts
+++ b/src/testing/platform_store_stand_in.ts
@@ -212,7 +212,7 @@
     });
     if (!isMet) {
       const rows = current.filter(row => row !== undefined && !row.deleted);
-      this.send(response, 412, {rows, schema_version: this.version, now_ms: 0});
+      this.send(response, 412, {rows, schema_version: this.version});
       return;
     }
     this.version++;
@@ -237,7 +237,7 @@
       request.socket.destroy();
       return;
     }
-    this.send(response, 200, {schema_version: this.version, now_ms: 0});
+    this.send(response, 200, {schema_version: this.version});
   }
 
   private sendRows(response: ServerResponse, rows: readonly StoredRow[]): void {
@@ -247,13 +247,14 @@
       ),
       has_more: false,
       schema_version: this.version,
-      now_ms: 0,
     });
   }
 
-  private send(response: ServerResponse, status: number, body: unknown): void {
+  private send(response: ServerResponse, status: number, body: object): void {
     response.writeHead(status, {'Content-Type': 'application/json'});
-    response.end(JSON.stringify(body));
+    response.end(
+      JSON.stringify({...body, now_ms: Math.round(performance.now())}),
+    );
   }
 }
 
