Leave time for several reads when the updates of peers stop

What callers could see: an older configuration, or requests to a leaving endpoint, on a host whose updates stop while its connection to the store has gone silent.

Cause: a host that read in place of its peers made a long poll with the time-out of all calls (0.9 s and the wait), began at up to 65% of the bound, and paused for half of its maximum age after a failure. One call without an answer used up the bound.

Why this works: such a read does not wait for changes, its time-out is half of what is left of the bound, and the next try follows after 50 ms on a new connection. The configuration is read at 40 to 55% of its bound, like the endpoints. Once the bound has passed, calls get their full time-out and the longer pause again, so a slow store is not flooded.

--- a/src/entry/late_updates_test.ts
+++ b/src/entry/late_updates_test.ts
@@ -1,5 +1,5 @@
 import {afterEach, describe, expect, test} from 'vitest';
-import {type Result, success} from '../errors/mod.ts';
+import {failure, type Result, success} from '../errors/mod.ts';
 import {EndpointRegistry, HostRegistry} from '../fleet/mod.ts';
 import {SILENT_LOGGER} from '../observability/mod.ts';
 import {createPlatform} from '../platform/mod.ts';
@@ -32,6 +32,8 @@
   readonly frozen: Set<number>;
   /** Hosts whose updates are lost. */
   readonly silent: Set<number>;
+  /** Number of further calls of each host that get no answer. */
+  readonly hangingCalls: Map<number, number>;
   /** Hosts that others supply, while they take themselves for active ones. */
   readonly roles: Map<number, number | undefined>;
 }
@@ -53,7 +55,7 @@
   }
 
   /** Returns the store as one host reaches it. */
-  client(): RowStore {
+  client(host: number, faults: Faults): RowStore {
     const pause = (milliseconds: number) =>
       new Promise<void>(resolve =>
         this.clock.startTimer(milliseconds, resolve),
@@ -70,10 +72,24 @@
         await pause(CALL_MILLISECONDS);
         return success(page(table, 0));
       },
-      followTable: async (table, after, wait): Promise<Reply> => {
+      followTable: async (table, after, options): Promise<Reply> => {
+        const {waitMilliseconds, timeoutMilliseconds = 900} = options;
         this.calls++;
+        const hanging = faults.hangingCalls.get(host) ?? 0;
+        if (hanging > 0) {
+          faults.hangingCalls.set(host, hanging - 1);
+          await pause(waitMilliseconds + timeoutMilliseconds);
+          return failure({
+            kind: 'unavailable',
+            step: 'follow',
+            peer: 'store',
+            reason: 'timed out',
+            mayHaveHappened: false,
+          });
+        }
         await pause(CALL_MILLISECONDS);
-        if (page(table, after).rows.length === 0) await this.change(wait);
+        if (page(table, after).rows.length === 0)
+          await this.change(waitMilliseconds);
         return success(page(table, after));
       },
       commit: () => {
@@ -111,6 +127,7 @@
     linkDelays: new Map(),
     frozen: new Set(),
     silent: new Set(),
+    hangingCalls: new Map(),
     roles: new Map(),
   };
   const fleet: SimulatedHost[] = [];
@@ -156,7 +173,7 @@
     });
     const ownRank = index < ACTIVE_HOSTS ? index : undefined;
     const followers = new StoreFollowers({
-      platform: {...platform, store: store.client()},
+      platform: {...platform, store: store.client(index, faults)},
       clock,
       storeClock: new StoreClock({clock}),
       logger: SILENT_LOGGER,
@@ -241,6 +258,8 @@
   hosts: number;
   /** Sets in faults before the change. */
   before: (faults: Faults) => void;
+  /** Sets in faults at the change. */
+  at?: (faults: Faults) => void;
 }
 
 const CASES: Case[] = [
@@ -272,6 +291,16 @@
     hosts: 300,
     before: ({silent}) => void silent.add(0),
   },
+  // Connections can go silent for good while new ones work.
+  {
+    name: 'updates stop and each next call on a kept connection hangs',
+    hosts: 84,
+    before: () => undefined,
+    at: ({silent, hangingCalls}) => {
+      silent.add(3);
+      for (let host = 1; host < 84; host++) hangingCalls.set(host, 1);
+    },
+  },
   {
     name: 'a host takes itself for a standby host, and nobody supplies it',
     hosts: 84,
@@ -286,12 +315,13 @@
   // Callers were served by an older configuration, and endpoints got requests after
   // they had said that they leave: hosts took updates that had been held up for
   // fresh ones and did not read the store.
-  test.each(CASES)('although $name', async ({hosts, before}) => {
+  test.each(CASES)('although $name', async ({hosts, before, at}) => {
     const {clock, faults, fleet, change} = simulate(hosts);
     await clock.advanceAsync(2500);
     before(faults);
     // Long enough for updates that wait to arrive one after the other again.
     await clock.advanceAsync(6000);
+    at?.(faults);
     change();
     await clock.advanceAsync(BOUND_MILLISECONDS);
     expect(lateHosts(fleet)).toEqual([]);
--- a/src/entry/store_followers.ts
+++ b/src/entry/store_followers.ts
@@ -50,7 +50,7 @@
 
 /**
  * Bound of that growth. A host whose reader and upstream host are both gone, as in a
- * rolling restart, still has a third of the time for its own read.
+ * rolling restart, still has almost half of the time for its own read.
  */
 const MAXIMUM_RANK_SHARE = 0.15;
 
@@ -61,7 +61,13 @@
 const STANDBY_RANK = 10;
 
 /** Long-poll time of a configuration request, as a share of its bound. */
-const CONFIGURATION_WAIT_SHARE = 0.3;
+const CONFIGURATION_WAIT_SHARE = 0.25;
+
+/** Maximum age of the configuration on the second-ranked host, likewise. */
+const CONFIGURATION_AGE_SHARE = 0.4;
+
+/** Maximum age of the endpoints on that host, as a share of the time to drain. */
+const ENDPOINT_AGE_SHARE = 0.3;
 
 /** Long-poll time of an endpoint request; each heartbeat of an endpoint is a change. */
 const ENDPOINT_WAIT_MILLISECONDS = 500;
@@ -84,6 +90,9 @@
 /** Age of the list of hosts at which a host reads it itself. */
 const HOST_MAXIMUM_AGE_MILLISECONDS = 12_000;
 
+/** Age at which hosts that have left or returned change the roles too late. */
+const HOST_BOUND_MILLISECONDS = 15_000;
+
 /**
  * Period over which the first reads of the hosts of a new deployment are spread,
  * as a share of the time that they get to register.
@@ -125,7 +134,8 @@
       waitMilliseconds: configurationMilliseconds * CONFIGURATION_WAIT_SHARE,
       pauseMilliseconds: () => 0,
       maximumAgeMilliseconds: () =>
-        this.maximumAge(configurationMilliseconds, 0.5),
+        this.maximumAge(configurationMilliseconds, CONFIGURATION_AGE_SHARE),
+      boundMilliseconds: configurationMilliseconds,
       onSnapshot: (rows, source) => this.applyConfiguration(rows, source),
       onChanges: (rows, source) => this.applyConfiguration(rows, source),
     });
@@ -136,7 +146,10 @@
       waitMilliseconds: ENDPOINT_WAIT_MILLISECONDS,
       pauseMilliseconds: () => this.endpointPause(),
       maximumAgeMilliseconds: () =>
-        options.managesPool() ? 0 : this.maximumAge(drainMilliseconds, 0.3),
+        options.managesPool()
+          ? 0
+          : this.maximumAge(drainMilliseconds, ENDPOINT_AGE_SHARE),
+      boundMilliseconds: drainMilliseconds,
       keepaliveMilliseconds: drainMilliseconds * ENDPOINT_PAUSE_SHARE,
       isSignificant: row => this.isSignificantEndpoint(row),
       onSnapshot: rows => {
@@ -156,6 +169,7 @@
       pauseMilliseconds: () => HOST_PAUSE_MILLISECONDS,
       maximumAgeMilliseconds: () =>
         this.maximumAge(HOST_MAXIMUM_AGE_MILLISECONDS, 1),
+      boundMilliseconds: HOST_BOUND_MILLISECONDS,
       onSnapshot: rows =>
         options.hosts.applySnapshot(
           [...this.decodeHosts(rows).values()].filter(row => row !== undefined),
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -3,6 +3,7 @@
 import {callHttp, type HttpResponse} from '../exchange/mod.ts';
 import type {
   CommitOutcome,
+  FollowOptions,
   Row,
   RowChange,
   RowPage,
@@ -60,25 +61,22 @@
   async followTable(
     table: string,
     afterVersion: number,
-    waitMilliseconds: number,
+    {waitMilliseconds, timeoutMilliseconds}: FollowOptions,
   ): Promise<Result<RowPage, RowStoreError>> {
     const path =
       `/limpetdale/rows-feed?table=${table}` +
       `&after=${afterVersion}&wait_ms=${waitMilliseconds}`;
-    const response = await this.call(
-      'follow',
-      'GET',
-      path,
-      undefined,
-      waitMilliseconds,
-    );
+    const timeout = timeoutMilliseconds ?? this.options.timeoutMilliseconds;
+    const response = await this.call('follow', 'GET', path, {
+      timeoutMilliseconds: timeout + waitMilliseconds,
+    });
     return response.ok ? success(response.value.page) : response;
   }
 
   async commit(
     changes: readonly RowChange[],
   ): Promise<Result<CommitOutcome, RowStoreError>> {
-    const response = await this.call('commit', 'POST', '/limpetdale/rows-tx', {
+    const body = {
       // Here `if_revision` lists the expected row versions; in engine orders the
       // field of this name is a single number.
       if_revision: changes
@@ -100,7 +98,9 @@
       remove: changes
         .filter(change => change.value === undefined)
         .map(change => ({table: change.table, part: '', key: change.key})),
-    });
+    };
+    const path = '/limpetdale/rows-tx';
+    const response = await this.call('commit', 'POST', path, {body});
     if (!response.ok) return response;
     const {status, page} = response.value;
     return success(
@@ -118,10 +118,9 @@
     step: RowStoreError['step'],
     method: 'GET' | 'POST',
     path: string,
-    body?: unknown,
-    waitMilliseconds = 0,
+    options: CallOptions = {},
   ): Promise<Result<StoreResponse, RowStoreError>> {
-    const {address, timeoutMilliseconds} = this.options;
+    const {address} = this.options;
     const fail = (
       kind: RowStoreError['kind'],
       reason: string,
@@ -131,9 +130,9 @@
       address,
       method,
       path,
-      ...(body === undefined ? {} : {body}),
       agent: this.agent,
-      timeoutMilliseconds: timeoutMilliseconds + waitMilliseconds,
+      timeoutMilliseconds: this.options.timeoutMilliseconds,
+      ...options,
     });
     if (!response.ok) {
       const {reason, mayHaveArrived} = response.error;
@@ -153,6 +152,12 @@
   }
 }
 
+/** Options of one call. */
+interface CallOptions {
+  readonly body?: unknown;
+  readonly timeoutMilliseconds?: number;
+}
+
 const STATUS_CONFLICT = 412;
 const STATUS_HISTORY_GONE = 410;
 
--- a/src/stores/mod.ts
+++ b/src/stores/mod.ts
@@ -50,6 +50,7 @@
 export type {Checkpoint, WeightStore} from './weight_store.ts';
 export type {
   CommitOutcome,
+  FollowOptions,
   Row,
   RowChange,
   RowPage,
--- a/src/stores/row_store.ts
+++ b/src/stores/row_store.ts
@@ -48,19 +48,25 @@
     }
   | {readonly kind: 'conflict'; readonly rows: readonly Row[]};
 
+/** Options of {@link RowStore.followTable}. */
+export interface FollowOptions {
+  /** Maximum wait in milliseconds, after which an empty page is returned. */
+  readonly waitMilliseconds: number;
+  /** Time-out in addition to the wait, in milliseconds. @default that of all calls */
+  readonly timeoutMilliseconds?: number | undefined;
+}
+
 /** Tables with versioned rows, conditional writes and change feeds. */
 export interface RowStore {
   /** Reads all rows of a table. */
   readTable(table: string): Promise<Result<RowPage, RowStoreError>>;
   /**
    * Waits for rows that changed after a version.
-   *
-   * @param waitMilliseconds Maximum wait, after which an empty page is returned.
    */
   followTable(
     table: string,
     afterVersion: number,
-    waitMilliseconds: number,
+    options: FollowOptions,
   ): Promise<Result<RowPage, RowStoreError>>;
   /** Applies the changes atomically. */
   commit(
--- a/src/stores/table_follower.ts
+++ b/src/stores/table_follower.ts
@@ -1,7 +1,8 @@
 import type {EventLogger} from '../observability/mod.ts';
 import {type Clock, sleep} from '../time/mod.ts';
-import type {Row, RowPage, RowStore} from './row_store.ts';
+import type {FollowOptions, Row, RowPage, RowStore} from './row_store.ts';
 import type {StoreClock} from './store_clock.ts';
+import {TableLog} from './_table_log.ts';
 
 /** Changes of a table that one host has read from the store, for its peers. */
 export interface TableUpdate {
@@ -29,7 +30,7 @@
   /** Clock of the store, shared by all followers of this host. */
   storeClock: StoreClock;
   logger: EventLogger;
-  /** Maximum time in milliseconds that one call waits for a change. */
+  /** Maximum time in milliseconds that a call of the reader waits for a change. */
   waitMilliseconds: number;
   /** Delay after each call; limits the call rate on frequently changing tables. */
   pauseMilliseconds: () => number;
@@ -39,6 +40,11 @@
    * with a smaller one, and take over when these stop.
    */
   maximumAgeMilliseconds: () => number;
+  /**
+   * Time within which changes must be known; larger than any maximum age. A host
+   * that reads in place of its peers makes several attempts within the rest of it.
+   */
+  boundMilliseconds: number;
   /**
    * Interval between updates without significant rows, which show the peers that
    * this host reads. @default 250
@@ -73,6 +79,12 @@
 /** Delay after a failed call; limits retries to a few per second. */
 const RETRY_DELAY_MILLISECONDS = 250;
 
+/** Delay while a change can still be known in time. */
+const FIRST_RETRY_DELAY_MILLISECONDS = 50;
+
+/** Shortest time-out of a call, however little time is left. */
+const MINIMUM_TIMEOUT_MILLISECONDS = 100;
+
 const DEFAULT_KEEPALIVE_MILLISECONDS = 250;
 
 /** Time that a host waits for the first copy of a table from a peer. */
@@ -106,23 +118,20 @@
   /** Version up to which peers know what this host has read without a gap. */
   private publishedVersion = 0;
   private publishedAt = Number.NEGATIVE_INFINITY;
-  private unavailableSince: number | undefined;
-  /** Peer that has sent the last applied update. */
-  private supplier: string | undefined;
-  /** Whether this host reads although peers with a smaller maximum age should. */
-  private readsInTheirPlace = false;
-  private recoveredAt = Number.NEGATIVE_INFINITY;
+  private readonly log: TableLog;
 
-  constructor(private readonly options: TableFollowerOptions) {}
+  constructor(private readonly options: TableFollowerOptions) {
+    this.log = new TableLog(options);
+  }
 
   /** Monotonic time at which the store last recovered from an outage. */
   get lastRecoveredAt(): number {
-    return this.recoveredAt;
+    return this.log.lastRecoveredAt;
   }
 
   /** Follows the table until {@link stop}. */
   async run(): Promise<void> {
-    const {clock, pauseMilliseconds, maximumAgeMilliseconds} = this.options;
+    const {clock, pauseMilliseconds} = this.options;
     const {signal} = this.stopController;
     this.startedAt = clock.monotonicMilliseconds();
     while (!signal.aborted) {
@@ -134,9 +143,7 @@
       }
       this.recordOwnRead();
       const succeeded = await this.poll();
-      const pause = succeeded
-        ? pauseMilliseconds()
-        : Math.max(RETRY_DELAY_MILLISECONDS, maximumAgeMilliseconds() / 2);
+      const pause = succeeded ? pauseMilliseconds() : this.retryDelay();
       if (pause > 0) await sleep(clock, pause, signal);
     }
   }
@@ -160,8 +167,7 @@
     const {clock, storeClock} = this.options;
     storeClock.recordUpdate(update.knownAt);
     if (update.regainedAt !== undefined) {
-      const regainedAt = storeClock.toMonotonic(update.regainedAt);
-      this.recoveredAt = Math.max(this.recoveredAt, regainedAt);
+      this.log.peerRecovered(storeClock.toMonotonic(update.regainedAt));
     }
     const knownAt = storeClock.toMonotonic(update.knownAt);
     const ageMilliseconds = clock.monotonicMilliseconds() - knownAt;
@@ -175,7 +181,7 @@
       this.applyChanges(update.rows, update.version, source);
     }
     this.recordKnown(update.knownAt);
-    this.recordSupply(from);
+    this.log.supplied(from, update.version, this.freshFor() > 0);
     return true;
   }
 
@@ -208,20 +214,53 @@
     return isWaiting ? INITIAL_CHECK_MILLISECONDS : 0;
   }
 
+  /**
+   * A host that reads in place of its peers does not wait for changes, since a call
+   * without an answer could not be told from one that waits, and ends a call early
+   * enough to try again on another connection.
+   */
+  private followOptions(): FollowOptions {
+    const {waitMilliseconds, maximumAgeMilliseconds} = this.options;
+    if (maximumAgeMilliseconds() === 0) return {waitMilliseconds};
+    const remaining = this.remaining();
+    return {
+      waitMilliseconds: 0,
+      timeoutMilliseconds:
+        remaining > 0
+          ? Math.max(MINIMUM_TIMEOUT_MILLISECONDS, remaining / 2)
+          : undefined,
+    };
+  }
+
+  /** Delay after a failed call; longer once the bound has passed in any case. */
+  private retryDelay(): number {
+    const {maximumAgeMilliseconds} = this.options;
+    return this.remaining() > 0
+      ? FIRST_RETRY_DELAY_MILLISECONDS
+      : Math.max(RETRY_DELAY_MILLISECONDS, maximumAgeMilliseconds() / 2);
+  }
+
+  /** Time until changes that this host does not know yet are late. */
+  private remaining(): number {
+    const {clock, boundMilliseconds} = this.options;
+    return boundMilliseconds - (clock.monotonicMilliseconds() - this.freshAt);
+  }
+
   private async poll(): Promise<boolean> {
-    const {store, table, waitMilliseconds, clock} = this.options;
+    const {store, table, clock} = this.options;
     const knownVersion = this.version;
     const startedAt = clock.monotonicMilliseconds();
+    const options = this.followOptions();
     const page =
       knownVersion === undefined
         ? await store.readTable(table)
-        : await store.followTable(table, knownVersion, waitMilliseconds);
+        : await store.followTable(table, knownVersion, options);
     if (this.stopController.signal.aborted) return true;
     if (!page.ok) {
       this.handleFailure(page.error.kind, page.error.reason);
       return page.error.kind === 'history_lost';
     }
-    this.handleSuccess();
+    this.log.callSucceeded();
     const {rows, version} = page.value;
     // Peers may have missed updates that this host received in between.
     if (knownVersion !== this.readVersion) {
@@ -238,7 +277,7 @@
     }
     // An empty page was written only after the wait, so the table is known up to
     // that time.
-    const waited = rows.length === 0 ? waitMilliseconds : 0;
+    const waited = rows.length === 0 ? options.waitMilliseconds : 0;
     this.recordRead(page.value, startedAt, waited);
     this.publish(rows, version);
     this.applyChanges(rows, version, this.ownSource());
@@ -294,32 +333,16 @@
 
   /** Logs when this host begins to read for lack of fresh updates. */
   private recordOwnRead(): void {
-    const {clock, logger, table, maximumAgeMilliseconds} = this.options;
+    const {clock, maximumAgeMilliseconds} = this.options;
     const maximumAge = maximumAgeMilliseconds();
     if (maximumAge === 0 || this.version === undefined) return;
-    if (this.readsInTheirPlace) return;
-    this.readsInTheirPlace = true;
-    logger.event('tableUpdatesLate', {
-      table,
+    this.log.updatesLate({
       version: this.version,
-      supplier: this.supplier,
-      ageMilliseconds: Math.round(clock.monotonicMilliseconds() - this.freshAt),
+      ageMilliseconds: clock.monotonicMilliseconds() - this.freshAt,
       maximumAgeMilliseconds: maximumAge,
     });
   }
 
-  private recordSupply(from: string): void {
-    this.supplier = from;
-    if (!this.readsInTheirPlace || this.freshFor() <= 0) return;
-    this.readsInTheirPlace = false;
-    const {logger, table} = this.options;
-    logger.event('tableUpdatesResumed', {
-      table,
-      version: this.version,
-      supplier: from,
-    });
-  }
-
   /**
    * Records what a read shows about the age of the copy. The store may have read
    * the rows long before it responded, so they are known as of the start of the
@@ -343,31 +366,24 @@
   }
 
   private regainedAt(): number | undefined {
-    return this.recoveredAt === Number.NEGATIVE_INFINITY
+    const {lastRecoveredAt} = this.log;
+    return lastRecoveredAt === Number.NEGATIVE_INFINITY
       ? undefined
-      : this.options.storeClock.toStore(this.recoveredAt);
+      : this.options.storeClock.toStore(lastRecoveredAt);
   }
 
   private handleFailure(kind: string, reason: string): void {
-    const {logger, table, clock} = this.options;
-    if (kind === 'history_lost') {
-      logger.event('tableHistoryLost', {table, after: this.version});
-      this.version = undefined;
+    const {logger, table} = this.options;
+    const {version} = this;
+    if (kind !== 'history_lost') {
+      this.log.callFailed({
+        kind,
+        reason,
+        ...(version === undefined ? {} : {version}),
+      });
       return;
     }
-    if (this.unavailableSince !== undefined) return;
-    this.unavailableSince = clock.monotonicMilliseconds();
-    logger.event('storeLost', {table, kind, reason, version: this.version});
-  }
-
-  private handleSuccess(): void {
-    const {logger, table, clock} = this.options;
-    if (this.unavailableSince === undefined) return;
-    this.recoveredAt = clock.monotonicMilliseconds();
-    logger.event('storeRegained', {
-      table,
-      lostForMilliseconds: Math.round(this.recoveredAt - this.unavailableSince),
-    });
-    this.unavailableSince = undefined;
+    logger.event('tableHistoryLost', {table, after: version});
+    this.version = undefined;
   }
 }
--- a/src/stores/table_follower_test.ts
+++ b/src/stores/table_follower_test.ts
@@ -114,6 +114,7 @@
       pauseMilliseconds: () => 100,
       maximumAgeMilliseconds: () =>
         host === 0 ? 0 : Math.min(500 + 100 * host, 2000),
+      boundMilliseconds: 2200,
       publish: update => deliver(host, update),
       onSnapshot: apply,
       onChanges: apply,
@@ -145,6 +146,7 @@
     waitMilliseconds: 0,
     pauseMilliseconds: () => 100,
     maximumAgeMilliseconds: () => 0,
+    boundMilliseconds: 2200,
     publish: update => updates.push(update),
     onSnapshot: () => undefined,
     onChanges: () => undefined,
