Publish each change of an endpoint that peers may not know

What callers could see: requests to an endpoint that is gone, from all hosts but the reader, until its next change; or an endpoint that has returned and gets none.

Cause: a reader compared a row with the last one that it had read itself. What another reader (the manager of a pool reads as well) had found in between was not in that memory, so a second removal looked like the first one, and the update without the row led the receivers past its version.

Two new cases of store_followers_test.ts failed before: 'is removed again after another reader has found it back' published version 2 alone, 'is returned again' nothing. A third case guards the time of a call; without the check of the version it fails.

Why this works: a row is compared with the one that the follower holds, which has all changes whoever read them, and only if it is of a version that all receivers of the update must know. Nothing is remembered beside it.

--- a/src/entry/store_followers.ts
+++ b/src/entry/store_followers.ts
@@ -111,8 +111,6 @@
   private readonly endpoints: TableFollower;
   private readonly hosts: TableFollower;
   private readonly stopController = new AbortController();
-  /** Last published content of each endpoint. */
-  private readonly publishedEndpoints = new Map<string, string>();
 
   constructor(private readonly options: StoreFollowersOptions) {
     const {platform, clock, storeClock, logger, publish} = options;
@@ -151,9 +149,9 @@
           : this.maximumAge(drainMilliseconds, ENDPOINT_AGE_SHARE),
       boundMilliseconds: drainMilliseconds,
       keepaliveMilliseconds: drainMilliseconds * ENDPOINT_PAUSE_SHARE,
-      isSignificant: row => this.isSignificantEndpoint(row),
+      isSignificant: (row, previous) =>
+        this.isSignificantEndpoint(row, previous),
       onSnapshot: rows => {
-        for (const row of rows) this.isSignificantEndpoint(row);
         options.endpoints.applySnapshot(this.decodeEndpoints(rows));
         options.onEndpointsChanged();
       },
@@ -274,26 +272,28 @@
    * Whether a row of an endpoint changes where requests may go. Heartbeats do not,
    * and models are announced by the manager of their pool.
    */
-  private isSignificantEndpoint(row: Row): boolean {
-    const {platform} = this.options;
+  private isSignificantEndpoint(row: Row, previous: Row | undefined): boolean {
+    return (
+      previous === undefined ||
+      this.significantContent(row) !== this.significantContent(previous)
+    );
+  }
+
+  private significantContent({key, version, value}: Row): string {
     const record =
-      row.value === undefined
+      value === undefined
         ? undefined
-        : platform.decodeEndpoint(row.key, row.version, row.value);
-    const content =
-      record === undefined
-        ? REMOVED_ENDPOINT
-        : JSON.stringify([
-            record.service,
-            record.address,
-            record.state,
-            record.slots,
-            record.startedAt,
-            record.leavesInMilliseconds === undefined,
-          ]);
-    const isChanged = this.publishedEndpoints.get(row.key) !== content;
-    this.publishedEndpoints.set(row.key, content);
-    return isChanged;
+        : this.options.platform.decodeEndpoint(key, version, value);
+    return record === undefined
+      ? REMOVED_ENDPOINT
+      : JSON.stringify([
+          record.service,
+          record.address,
+          record.state,
+          record.slots,
+          record.startedAt,
+          record.leavesInMilliseconds === undefined,
+        ]);
   }
 
   private applyConfiguration(rows: readonly Row[], source: RowSource): void {
--- a/src/entry/store_followers_test.ts
+++ b/src/entry/store_followers_test.ts
@@ -46,79 +46,169 @@
   },
 ];
 
-test.each(CASES)(
-  'an endpoint that is $name is published: $isPublished',
-  async ({value, isPublished}) => {
-    const clock = new ManualClock();
-    const platform = createPlatform({address: '', timeoutMilliseconds: 100});
-    let version = 1;
-    let rows: Row[] = [{key: 'e1', value: endpoint('ready'), version}];
-    const pause = () =>
-      new Promise<void>(resolve => clock.startTimer(20, resolve));
-    const store: RowStore = {
-      readTable: async table => {
-        await pause();
-        return success({
-          rows: table === platform.endpointTable ? rows : [],
-          version,
-          storeMilliseconds: clock.monotonicMilliseconds(),
-        });
-      },
-      followTable: async (table, after) => {
-        await pause();
-        const changed = rows.filter(row => row.version > after);
-        return success({
-          rows: table === platform.endpointTable ? changed : [],
-          version,
-          storeMilliseconds: clock.monotonicMilliseconds(),
-        });
-      },
-      commit: () => {
-        throw new Error('not used');
-      },
-    };
-    const published: TableUpdate[] = [];
-    const followers = new StoreFollowers({
-      platform: {...platform, store},
+/** A host that reads all the time, and a store that a test writes to. */
+async function startReader() {
+  const clock = new ManualClock();
+  const platform = createPlatform({address: '', timeoutMilliseconds: 100});
+  let version = 1;
+  let rows: Row[] = [{key: 'e1', value: endpoint('ready'), version}];
+  const pause = () =>
+    new Promise<void>(resolve => clock.startTimer(20, resolve));
+  const store: RowStore = {
+    readTable: async table => {
+      await pause();
+      return success({
+        rows: table === platform.endpointTable ? rows : [],
+        version,
+        storeMilliseconds: clock.monotonicMilliseconds(),
+      });
+    },
+    followTable: async (table, after) => {
+      await pause();
+      const changed = rows.filter(row => row.version > after);
+      return success({
+        rows: table === platform.endpointTable ? changed : [],
+        version,
+        storeMilliseconds: clock.monotonicMilliseconds(),
+      });
+    },
+    commit: () => {
+      throw new Error('not used');
+    },
+  };
+  const published: TableUpdate[] = [];
+  const followers = new StoreFollowers({
+    platform: {...platform, store},
+    clock,
+    storeClock: new StoreClock({clock}),
+    logger: SILENT_LOGGER,
+    configuration: new ConfigurationSource({
+      platform,
+      logger: SILENT_LOGGER,
+      onApplied: () => undefined,
+    }),
+    endpoints: new EndpointRegistry({
       clock,
-      storeClock: new StoreClock({clock}),
       logger: SILENT_LOGGER,
-      configuration: new ConfigurationSource({
-        platform,
-        logger: SILENT_LOGGER,
-        onApplied: () => undefined,
-      }),
-      endpoints: new EndpointRegistry({
-        clock,
-        logger: SILENT_LOGGER,
-        maximumConnections: () => 1,
-        storeRegainedAt: () => Number.NEGATIVE_INFINITY,
-      }),
-      hosts: new HostRegistry({
-        hostId: 'host-1',
-        self: () => {
-          throw new Error('not used');
+      maximumConnections: () => 1,
+      storeRegainedAt: () => Number.NEGATIVE_INFINITY,
+    }),
+    hosts: new HostRegistry({
+      hostId: 'host-1',
+      self: () => {
+        throw new Error('not used');
+      },
+    }),
+    drainMilliseconds: 2000,
+    configurationMilliseconds: 2000,
+    isFirstStart: false,
+    registrationMilliseconds: 0,
+    managesPool: () => false,
+    rank: () => 0,
+    random: () => 0,
+    publish: update => published.push(update),
+    onEndpointsChanged: () => undefined,
+  });
+  followers.start();
+  await clock.advanceAsync(1000);
+  return {
+    clock,
+    followers,
+    /** Changes the row of the endpoint; the next call of the host returns it. */
+    write: (value: Buffer | undefined) => {
+      rows = [{key: 'e1', value, version: ++version}];
+    },
+    /** Lets another reader supply the row, before this host has read it. */
+    supply: (value: Buffer | undefined) => {
+      const afterVersion = version;
+      rows = [{key: 'e1', value, version: ++version}];
+      followers.receive(
+        {
+          table: platform.endpointTable,
+          afterVersion,
+          isComplete: false,
+          version,
+          rows,
+          knownAt: clock.monotonicMilliseconds(),
+          regainedAt: undefined,
         },
-      }),
-      drainMilliseconds: 2000,
-      configurationMilliseconds: 2000,
-      isFirstStart: false,
-      registrationMilliseconds: 0,
-      managesPool: () => false,
-      rank: () => 0,
-      random: () => 0,
-      publish: update => published.push(update),
-      onEndpointsChanged: () => undefined,
-    });
-    followers.start();
-    await clock.advanceAsync(1000);
-    published.length = 0;
-    rows = [{key: 'e1', value, version: ++version}];
+        'host-2',
+      );
+    },
+    /** Versions of the endpoint's row that were published since the last call. */
+    takePublished: () =>
+      published
+        .splice(0)
+        .filter(({table}) => table === platform.endpointTable)
+        .flatMap(update => update.rows.map(row => row.version)),
+  };
+}
+
+test.each(CASES)(
+  'an endpoint that is $name is published: $isPublished',
+  async ({value, isPublished}) => {
+    const {clock, followers, write, takePublished} = await startReader();
+    takePublished();
+    write(value);
     await clock.advanceAsync(1000);
     followers.stop();
-    const keys = published
-      .filter(({table}) => table === platform.endpointTable)
-      .flatMap(update => update.rows.map(({key}) => key));
-    expect(keys).toEqual(isPublished ? ['e1'] : []);
+    expect(takePublished()).toEqual(isPublished ? [2] : []);
+  },
+);
+
+type Reader = Awaited<ReturnType<typeof startReader>>;
+
+interface SuppliedCase {
+  name: string;
+  steps: (reader: Reader) => Promise<void>;
+  /** Version of the row that must reach the other hosts. */
+  version: number;
+}
+
+// With two readers, each saw only part of the changes. A host that compared a row
+// with the last one that it had read itself took it for known to all, and its update
+// led the others past it: they used an endpoint that was gone.
+const SUPPLIED_CASES: SuppliedCase[] = [
+  {
+    name: 'is removed again after another reader has found it back',
+    steps: async ({clock, write, supply}) => {
+      write(undefined);
+      await clock.advanceAsync(1000);
+      supply(endpoint('ready'));
+      await clock.advanceAsync(1000);
+      write(undefined);
+      await clock.advanceAsync(1000);
+    },
+    version: 4,
+  },
+  {
+    name: 'is returned again after another reader has found it gone',
+    steps: async ({clock, write, supply}) => {
+      supply(undefined);
+      await clock.advanceAsync(1000);
+      write(endpoint('ready'));
+      await clock.advanceAsync(1000);
+    },
+    version: 3,
+  },
+  {
+    name: 'leaves by the update of another reader while this host reads',
+    steps: async ({clock, supply}) => {
+      // 10 ms into a call, which returns the same row 10 ms later.
+      await clock.advanceAsync(10 + (220 - (1000 % 220)));
+      supply(endpoint('draining'));
+      await clock.advanceAsync(1000);
+    },
+    version: 2,
+  },
+];
+
+test.each(SUPPLIED_CASES)(
+  'an endpoint that $name is published',
+  async ({steps, version}) => {
+    const reader = await startReader();
+    await steps(reader);
+    reader.followers.stop();
+    expect(reader.takePublished()).toContain(version);
   },
 );
--- a/src/stores/mod.ts
+++ b/src/stores/mod.ts
@@ -66,5 +66,5 @@
   type RowSource,
   TableFollower,
   type TableFollowerOptions,
-  type TableUpdate,
 } from './table_follower.ts';
+export type {TableUpdate} from './table_update.ts';
--- a/src/stores/table_follower.ts
+++ b/src/stores/table_follower.ts
@@ -3,24 +3,7 @@
 import type {FollowOptions, Row, RowPage, RowStore} from './row_store.ts';
 import type {StoreClock} from './store_clock.ts';
 import {TableLog} from './_table_log.ts';
-
-/** Changes of a table that one host has read from the store, for its peers. */
-export interface TableUpdate {
-  readonly table: string;
-  /** Version up to which the receiver must know the table to apply the rows. */
-  readonly afterVersion: number;
-  /** Whether the rows are the whole table, whatever the receiver knows. */
-  readonly isComplete: boolean;
-  readonly version: number;
-  readonly rows: readonly Row[];
-  /** Time of the store's clock at which the table was known to be at `version`. */
-  readonly knownAt: number;
-  /**
-   * Time of the store's clock at which the reader regained the store; undefined if
-   * it never lost it.
-   */
-  readonly regainedAt: number | undefined;
-}
+import type {TableUpdate} from './table_update.ts';
 
 /** Options of {@link TableFollower}. */
 export interface TableFollowerOptions {
@@ -55,8 +38,11 @@
    * host reads it itself only after {@link INITIAL_WAIT_MILLISECONDS}.
    */
   isSupplied?: () => boolean;
-  /** Whether peers without access to the store need to know of a changed row. */
-  isSignificant?: (row: Row) => boolean;
+  /**
+   * Whether peers without access to the store need to know of a changed row.
+   * `previous` is the row as all peers know it; undefined if that is not certain.
+   */
+  isSignificant?: (row: Row, previous: Row | undefined) => boolean;
   /** Sends an update to the peers. */
   publish?: (update: TableUpdate) => void;
   /** Receives all rows of the table at the start and after its history was lost. */
@@ -279,7 +265,7 @@
     // that time.
     const waited = rows.length === 0 ? options.waitMilliseconds : 0;
     this.recordRead(page.value, startedAt, waited);
-    this.publish(rows, version);
+    this.publish(rows, version, knownVersion);
     this.applyChanges(rows, version, this.ownSource());
     return true;
   }
@@ -299,11 +285,23 @@
     if (changed.length > 0) this.options.onChanges(changed, source);
   }
 
-  private publish(rows: readonly Row[], version: number): void {
+  /**
+   * Sends rows that were read after `knownVersion`. What peers supplied since then is
+   * not known to all, since their updates may still be on the way.
+   */
+  private publish(
+    rows: readonly Row[],
+    version: number,
+    knownVersion: number,
+  ): void {
     const {publish, isSignificant, table, clock} = this.options;
     if (publish === undefined) return;
     const now = clock.monotonicMilliseconds();
-    const significant = rows.filter(row => isSignificant?.(row) ?? true);
+    const significant = rows.filter(row => {
+      const known = this.rows.get(row.key);
+      const isKnownToAll = known !== undefined && known.version <= knownVersion;
+      return isSignificant?.(row, isKnownToAll ? known : undefined) ?? true;
+    });
     const keepalive =
       this.options.keepaliveMilliseconds ?? DEFAULT_KEEPALIVE_MILLISECONDS;
     const isDue = now - this.publishedAt >= keepalive;
