Follow a table from the version of its first page

What callers could see on fleets with more than 500 endpoints or hosts: an endpoint that leaves while a starting host reads the table goes on getting requests from it.

Cause: readTable read page after page and returned the version of the last one. A row of the first page that changed before the last page was read was older than that version, and the feed did not return it.

Evidence: found by reading (the store returns 500 rows at most for a call); store_client_test.ts, 'two pages with a change between them': version 9 before, 7 now.

Why this works: the feed is followed from the version of the first page. Rows of later pages that it returns once more are applied twice, which changes nothing.

Measured: both cases pass, one failed before.

--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -40,6 +40,7 @@
 
   async readTable(table: string): Promise<Result<RowPage, RowStoreError>> {
     const rows: Row[] = [];
+    let version: number | undefined;
     let startKey = '';
     for (;;) {
       const from =
@@ -49,8 +50,10 @@
       if (!response.ok) return response;
       const {page} = response.value;
       rows.push(...page.rows);
+      // Rows of this page can change before the next one is read.
+      version ??= page.version;
       if (!page.hasMore || page.rows.length === 0) {
-        return success({...page, rows});
+        return success({...page, rows, version});
       }
       // `source` is an inclusive lower bound; appending a zero byte to the last
       // key gives the next possible key.
