Follow a table past odd rows, and send nothing to an address that is none

Here, a row with port 99999 was taken for an endpoint, and each request that was sent to it ended with a closed connection, since Node.js throws at once for such a port; and a receiver of rows that throws ended the follower of its table for good, without a line in the log.

Cause: only the form of an address was checked, numbers were taken as they came, and neither sendToEndpoint, callHttp nor TableFollower expected an exception.

Evidence: 13 new cases fail on the code before (nine rows of decode_test.ts, two of table_follower_test.ts, two of send_to_endpoint_test.ts).

Why this works: a row names an endpoint only if its address can be connected to and its numbers count something; what Node.js refuses to send is an unsent request, which another endpoint gets; a failed receiver is logged and the table followed on. An odd row is logged once and not at each heartbeat. Rows of hosts and the settings are held to the same check of addresses. JSON with 100,000 nested lists parses, and no value of a row is walked recursively.

--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -1,8 +1,9 @@
 import {z} from 'zod';
+import {isSocketAddress} from '../exchange/mod.ts';
 
 const addressSchema = z
   .string()
-  .regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'must be an IP address and a port');
+  .refine(isSocketAddress, 'must be an IP address and a port');
 
 const milliseconds = z.number().int().nonnegative();
 
--- a/src/entry/store_followers.ts
+++ b/src/entry/store_followers.ts
@@ -111,6 +111,8 @@
   private readonly endpoints: TableFollower;
   private readonly hosts: TableFollower;
   private readonly stopController = new AbortController();
+  /** Keys of the endpoints' rows that were logged as unreadable. */
+  private readonly unreadableKeys = new Set<string>();
 
   constructor(private readonly options: StoreFollowersOptions) {
     const {platform, clock, storeClock, logger, publish} = options;
@@ -310,9 +312,14 @@
     const {platform, logger} = this.options;
     return new Map(
       rows.map(({key, value, version}) => {
-        if (value === undefined) return [key, undefined];
+        if (value === undefined) {
+          this.unreadableKeys.delete(key);
+          return [key, undefined];
+        }
         const record = platform.decodeEndpoint(key, version, value);
-        if (record === undefined) {
+        if (record !== undefined) this.unreadableKeys.delete(key);
+        else if (!this.unreadableKeys.has(key)) {
+          this.unreadableKeys.add(key);
           logger.event('rowUnreadable', {
             table: platform.endpointTable,
             key,
--- a/src/exchange/call_http.ts
+++ b/src/exchange/call_http.ts
@@ -1,4 +1,4 @@
-import {type Agent, request} from 'node:http';
+import {type Agent, type ClientRequest, request} from 'node:http';
 import {
   failure,
   isConnectFailureCode,
@@ -53,22 +53,28 @@
     options.body === undefined ? undefined : JSON.stringify(options.body);
   return new Promise(resolve => {
     let connected = false;
-    const clientRequest = request({
-      host,
-      port: Number(port),
-      method: options.method,
-      path: options.path,
-      agent: options.agent,
-      headers: {
-        ...options.headers,
-        ...(body === undefined
-          ? {}
-          : {
-              'content-type': 'application/json',
-              'content-length': Buffer.byteLength(body),
-            }),
-      },
-    });
+    let clientRequest: ClientRequest;
+    try {
+      clientRequest = request({
+        host,
+        port: Number(port),
+        method: options.method,
+        path: options.path,
+        agent: options.agent,
+        headers: {
+          ...options.headers,
+          ...(body === undefined
+            ? {}
+            : {
+                'content-type': 'application/json',
+                'content-length': Buffer.byteLength(body),
+              }),
+        },
+      });
+    } catch (error) {
+      resolve(failure({reason: String(error), mayHaveArrived: false}));
+      return;
+    }
     const timer = setTimeout(() => {
       // A reset also discards bytes that are still queued on an interrupted link.
       if (connected) clientRequest.socket?.resetAndDestroy();
--- a/src/exchange/mod.ts
+++ b/src/exchange/mod.ts
@@ -23,3 +23,4 @@
 } from './send_to_endpoint.ts';
 export {discardResponse} from './discard_response.ts';
 export {isConnectionRefused} from './is_connection_refused.ts';
+export {isSocketAddress} from './is_socket_address.ts';
--- a/src/exchange/send_to_endpoint.ts
+++ b/src/exchange/send_to_endpoint.ts
@@ -1,4 +1,9 @@
-import {type Agent, type IncomingMessage, request} from 'node:http';
+import {
+  type Agent,
+  type ClientRequest,
+  type IncomingMessage,
+  request,
+} from 'node:http';
 import {isConnectFailureCode} from '../errors/mod.ts';
 
 /** Options of {@link sendToEndpoint}. */
@@ -68,15 +73,22 @@
     let connected = false;
     let timedOut = false;
     let hasConnectionFailed = false;
-    const clientRequest = request({
-      host,
-      port: Number(port),
-      method: options.method,
-      path: options.path,
-      agent: options.agent,
-      headers: options.headers,
-      setHost: false,
-    });
+    let clientRequest: ClientRequest;
+    try {
+      clientRequest = request({
+        host,
+        port: Number(port),
+        method: options.method,
+        path: options.path,
+        agent: options.agent,
+        headers: options.headers,
+        setHost: false,
+      });
+    } catch (error) {
+      // Node.js checks the address, path and headers before it connects.
+      resolve({kind: 'unsent', reason: String(error), wasQueued: false});
+      return;
+    }
     const terminate = (reason: string) => {
       // A reset also discards bytes that are still queued on an interrupted
       // link, so that the request does not arrive after it was aborted.
--- a/src/exchange/send_to_endpoint_test.ts
+++ b/src/exchange/send_to_endpoint_test.ts
@@ -9,6 +9,28 @@
   'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nRequest-Id: r\r\n\r\nok';
 
 describe('sendToEndpoint', () => {
+  // Node.js throws at once for these. The caller of the request got no response.
+  test.each([
+    {name: 'a port out of range', address: '127.0.0.1:99999', path: '/'},
+    {name: 'a path with a space', address: '127.0.0.1:80', path: '/a b'},
+  ])('a request to $name is not sent', async ({address, path}) => {
+    const outcome = await sendToEndpoint({
+      address,
+      method: 'GET',
+      path,
+      headers: ['Host', 'h'],
+      body: Buffer.alloc(0),
+      agent: new EndpointAgent({
+        maximumConnections: 1,
+        idleTimeoutMilliseconds: 1000,
+      }),
+      connectTimeoutMilliseconds: 1000,
+      responseTimeoutMilliseconds: 1000,
+      signal: new AbortController().signal,
+    });
+    expect(outcome.kind).toBe('unsent');
+  });
+
   // Guards against MIXED violations: an endpoint that responds before it has
   // read the whole body must not get the next request in place of the rest.
   test('a response before the end of a long body is followed by no bytes of the next request', async () => {
--- a/src/fleet/host_row.ts
+++ b/src/fleet/host_row.ts
@@ -1,4 +1,7 @@
 import {z} from 'zod';
+import {isSocketAddress} from '../exchange/mod.ts';
+
+const PEER_SCHEME = 'ws://';
 
 /** Schema of {@link HostRow}. */
 export const hostRowSchema = z.object({
@@ -7,9 +10,15 @@
   incarnation: z.string().min(1),
   dataCentre: z.string(),
   /** IP address and port for callers. */
-  callerAddress: z.string(),
+  callerAddress: z.string().refine(isSocketAddress),
   /** WebSocket address for peers. */
-  peerAddress: z.string(),
+  peerAddress: z
+    .string()
+    .refine(
+      address =>
+        address.startsWith(PEER_SCHEME) &&
+        isSocketAddress(address.slice(PEER_SCHEME.length)),
+    ),
   state: z.enum(['ready', 'leaving']),
   /** Processor capacity, in cores of the usual speed. */
   cores: z.number().positive().default(1),
--- a/src/platform/decode_endpoint.ts
+++ b/src/platform/decode_endpoint.ts
@@ -1,4 +1,5 @@
 import type {EndpointRecord, HeldModel} from '../deployment/mod.ts';
+import {isSocketAddress} from '../exchange/mod.ts';
 import {
   isWireObject,
   numberOf,
@@ -8,7 +9,8 @@
   type WireObject,
 } from './_wire_value.ts';
 
-const ADDRESS_PATTERN = /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/;
+/** More requests than any process runs at once; a row with more is not an endpoint's. */
+const MAXIMUM_SLOTS = 100_000;
 
 /**
  * Decodes the row of an endpoint. Its `sequence` field counts heartbeats and is
@@ -29,7 +31,10 @@
   if (state !== 'ready' && state !== 'draining') return undefined;
   const address = stringOf(value['address']);
   const service = stringOf(value['service']);
-  if (!ADDRESS_PATTERN.test(address) || service === '') return undefined;
+  if (!isSocketAddress(address) || service === '') return undefined;
+  const {slots = 1, born = 0} = value;
+  if (!isCount(slots) || slots === 0 || slots > MAXIMUM_SLOTS) return undefined;
+  if (!isCount(born)) return undefined;
   const available = isWireObject(value['available']) ? value['available'] : {};
   const remaining = value['remaining_ms'];
   return {
@@ -38,16 +43,23 @@
     service,
     address,
     dataCentre: stringOf(value['zone']),
-    slots: numberOf(value['slots'], 1),
+    slots,
     state: state === 'ready' ? 'ready' : 'leaving',
-    startedAt: numberOf(value['born']),
-    leavesInMilliseconds: typeof remaining === 'number' ? remaining : undefined,
+    startedAt: born,
+    leavesInMilliseconds: Number.isFinite(remaining)
+      ? Number(remaining)
+      : undefined,
     models: decodeHeldModels(value['models']),
     inMemory: stringsOf(available['in_memory']),
     onDisk: stringsOf(available['on_disk']),
   };
 }
 
+/** Whether a value is a number that counts something exactly. */
+function isCount(value: unknown): value is number {
+  return Number.isSafeInteger(value) && Number(value) >= 0;
+}
+
 /** Decodes the list of models that are loaded in an engine's accelerator. */
 export function decodeHeldModels(value: unknown): readonly HeldModel[] {
   return objectsOf(value).map((model: WireObject) => ({
--- a/src/platform/decode_test.ts
+++ b/src/platform/decode_test.ts
@@ -15,6 +15,12 @@
   born: 123,
 };
 
+/** A list within 100,000 lists, as another writer may leave it. */
+function nestedList(): unknown {
+  const depth = 100_000;
+  return JSON.parse('['.repeat(depth) + ']'.repeat(depth)) as unknown;
+}
+
 describe('decodeEndpoint', () => {
   // Other writers may leave invalid rows in the table; these must be ignored.
   const unusableRows = [
@@ -26,6 +32,15 @@
     {name: 'an address of the wrong type', value: {...ROW, address: 80}},
     {name: 'an address without a port', value: {...ROW, address: '10.0.0.1'}},
     {name: 'no service', value: {...ROW, service: undefined}},
+    {name: 'a port out of range', value: {...ROW, address: '10.0.0.1:99999'}},
+    {name: 'port 0', value: {...ROW, address: '10.0.0.1:0'}},
+    {name: 'an address out of range', value: {...ROW, address: '300.0.0.1:8'}},
+    {name: 'too many places', value: {...ROW, slots: 1e15}},
+    {name: 'a fraction of a place', value: {...ROW, slots: 0.5}},
+    {name: 'fewer than no places', value: {...ROW, slots: -4}},
+    {name: 'a start beyond all numbers', value: {...ROW, born: Infinity}},
+    {name: 'a start that is no whole number', value: {...ROW, born: 2 ** 60}},
+    {name: 'nested lists for a start', value: {...ROW, born: nestedList()}},
   ];
   test.each(unusableRows)('a row with $name is ignored', ({value}) => {
     expect(decodeEndpoint('e', 1, value)).toBeUndefined();
--- a/src/stores/mod.ts
+++ b/src/stores/mod.ts
@@ -62,9 +62,6 @@
   StoreClock,
   type StoreClockOptions,
 } from './store_clock.ts';
-export {
-  type RowSource,
-  TableFollower,
-  type TableFollowerOptions,
-} from './table_follower.ts';
+export {TableFollower, type TableFollowerOptions} from './table_follower.ts';
+export type {RowSource} from './row_source.ts';
 export type {TableUpdate} from './table_update.ts';
--- a/src/stores/table_follower.ts
+++ b/src/stores/table_follower.ts
@@ -3,6 +3,7 @@
 import type {FollowOptions, Row, RowPage, RowStore} from './row_store.ts';
 import type {StoreClock} from './store_clock.ts';
 import {TableLog} from './_table_log.ts';
+import type {RowSource} from './row_source.ts';
 import type {TableUpdate} from './table_update.ts';
 
 /** Options of {@link TableFollower}. */
@@ -51,14 +52,6 @@
   onChanges: (rows: readonly Row[], source: RowSource) => void;
 }
 
-/** Where rows come from, for logs. */
-export interface RowSource {
-  /** `store`, or the id of the peer that has sent them. */
-  readonly origin: string;
-  /** Time since the table was known to contain the rows, in milliseconds. */
-  readonly ageMilliseconds: number;
-}
-
 /** {@link RowSource.origin} of rows that this host has read itself. */
 const STORE_ORIGIN = 'store';
 
@@ -162,7 +155,7 @@
       if (update.version <= (known ?? 0)) return true;
       this.version = update.version;
       this.replaceRows(update.rows);
-      this.options.onSnapshot(update.rows, source);
+      this.deliver(() => this.options.onSnapshot(update.rows, source));
     } else {
       this.applyChanges(update.rows, update.version, source);
     }
@@ -258,7 +251,8 @@
       this.publishedVersion = version;
       this.recordRead(page.value, startedAt, 0);
       this.replaceRows(rows);
-      this.options.onSnapshot(rows, this.ownSource());
+      const source = this.ownSource();
+      this.deliver(() => this.options.onSnapshot(rows, source));
       return true;
     }
     // An empty page was written only after the wait, so the table is known up to
@@ -282,7 +276,22 @@
       if (row.value === undefined) this.rows.delete(row.key);
       else this.rows.set(row.key, row);
     }
-    if (changed.length > 0) this.options.onChanges(changed, source);
+    if (changed.length === 0) return;
+    this.deliver(() => this.options.onChanges(changed, source));
+  }
+
+  /** Calls a receiver of rows; its failure must not end the following of the table. */
+  private deliver(call: () => void): void {
+    try {
+      call();
+    } catch (error) {
+      const {logger, table} = this.options;
+      logger.event('unexpectedFailure', {
+        table,
+        version: this.version,
+        reason: error instanceof Error ? error.stack : String(error),
+      });
+    }
   }
 
   /**
--- a/src/stores/table_follower_test.ts
+++ b/src/stores/table_follower_test.ts
@@ -1,6 +1,6 @@
 import {afterEach, describe, expect, test} from 'vitest';
 import {failure, success} from '../errors/mod.ts';
-import {SILENT_LOGGER} from '../observability/mod.ts';
+import {type EventName, SILENT_LOGGER} from '../observability/mod.ts';
 import {ManualClock} from '../testing/manual_clock.ts';
 import {
   type Row,
@@ -225,6 +225,49 @@
     expect(shared.version - (versions[1] ?? 0)).toBeLessThanOrEqual(3);
   });
 
+  // One odd row must not keep a host from following the others. A receiver that
+  // failed ended the follower for good, without a line in the log.
+  test.each([{method: 'onSnapshot'}, {method: 'onChanges'}] as const)(
+    'a table is followed on after $method has failed',
+    async ({method}) => {
+      const clock = new ManualClock();
+      const shared = {rows: [] as Row[], version: 0, calls: 0};
+      const events: EventName[] = [];
+      const changes: number[] = [];
+      let hasFailed = false;
+      const receive = (name: string, rows: readonly Row[]) => {
+        if (name === method && !hasFailed) {
+          hasFailed = true;
+          throw new RangeError('Maximum call stack size exceeded');
+        }
+        changes.push(...rows.map(({version}) => version));
+      };
+      const follower = new TableFollower({
+        store: new SlowStore(clock, () => true, 0, shared),
+        table: 'servers',
+        clock,
+        storeClock: new StoreClock({clock}),
+        logger: {event: name => events.push(name)},
+        waitMilliseconds: 0,
+        pauseMilliseconds: () => 100,
+        maximumAgeMilliseconds: () => 0,
+        boundMilliseconds: 2200,
+        onSnapshot: rows => receive('onSnapshot', rows),
+        onChanges: rows => receive('onChanges', rows),
+      });
+      followers = [follower];
+      void follower.run().catch(() => undefined);
+      for (let version = 1; version <= 3; version++) {
+        shared.version = version;
+        shared.rows.push({key: `key-${version}`, value: Buffer.of(1), version});
+        await clock.advanceAsync(300);
+      }
+      expect(hasFailed).toBe(true);
+      expect(changes).toContain(3);
+      expect(events).toEqual(['unexpectedFailure']);
+    },
+  );
+
   // Guards against rows that are lost because an update was lost before them.
   test('an update after a missed one is not applied', async () => {
     const {clock, shared, versions} = simulate(2);
