--- a/src/testing/platform_endpoint_stand_in.ts
+++ b/src/testing/platform_endpoint_stand_in.ts
@@ -66,6 +66,10 @@
   troubles: number | undefined;
   /** Part of a prompt that ends the process as soon as it begins to answer. */
   deadlyPart: string | undefined;
+  /** Headers that all answers to requests have, such as `Server-Limit`. */
+  notices: Readonly<Record<string, string>> = {};
+  /** Monotonic milliseconds at which requests arrived, run or not. */
+  readonly arrivals: number[] = [];
   readonly ran: SeenRequest[] = [];
   readonly orders: {
     operation: string;
@@ -197,6 +201,10 @@
   ): void {
     const trouble = this.nextTrouble();
     const {headers} = request;
+    this.arrivals.push(performance.now());
+    for (const [name, value] of Object.entries(this.notices)) {
+      response.setHeader(name, value);
+    }
     this.unanswered.add(response);
     response.once('close', () => this.unanswered.delete(response));
     const target = String(headers['model'] ?? '');
