Share the requests that an endpoint takes among the hosts by permits

What callers saw: an endpoint in need names in its answers how many requests a second it takes from all hosts together (Server-Limit), and got all that callers sent.

Cause: no code read the header, and each host decided alone where its requests go.

Why this works: a host that learns of a limit tells all others. For each endpoint one of the eight largest active hosts that are connected grants a permit for each request of any host, evenly spaced at the limit; requests do not pass through it. So the limit is used by demand, wherever callers come in, and holds for 1 request a second before 1,100 hosts as well, where even shares would give each host one in 18 minutes. A host without an answer after 250 ms uses its even share, from a random moment on. A host that reaches a part of the active hosts grants that part of the limit. Permits are granted ahead at most for the request's latency objective; beyond it another replica is chosen, or the caller is refused at once with the time of its turn, one after the other. A limit ends with the first success without the header whose request was sent after the limit was known.

Each send counts, repeats as well, since each gets a permit of its own. A standby host asks its upstream host, which asks on. The limiter of teams (reports of what was spent) was weighed and not used: hosts that wait for the same token would all send at once, and a team's burst hides this where a limit of 1 a second does not.

--- /dev/null
+++ b/src/engines/_limited_endpoints.ts
@@ -0,0 +1,69 @@
+import type {Endpoint, EndpointRegistry} from '../fleet/mod.ts';
+import type {EndpointLimits, PermitBroker} from '../permits/mod.ts';
+import type {NotedResponse, RoutedRequest} from '../relay/mod.ts';
+import {type Clock, sleep} from '../time/mod.ts';
+
+/** Options of {@link LimitedEndpoints}. */
+export interface LimitedEndpointsOptions {
+  clock: Clock;
+  registry: EndpointRegistry;
+  limits: EndpointLimits;
+  permits: PermitBroker;
+}
+
+/** A request and the endpoint that has been chosen for it. */
+export interface LimitedCandidate {
+  readonly endpoint: Endpoint;
+  readonly request: RoutedRequest;
+  /** Monotonic time until which the request can wait. */
+  readonly waitsUntil: number;
+}
+
+/** Endpoints that take a limited number of requests from all hosts together. */
+export class LimitedEndpoints {
+  constructor(private readonly options: LimitedEndpointsOptions) {}
+
+  /** Whether an endpoint names a limit. */
+  has({incarnation}: Endpoint): boolean {
+    return this.options.limits.rateOf(incarnation) !== undefined;
+  }
+
+  /** Records what a response says of the limit of its endpoint. */
+  observe({incarnation}: Endpoint, response: NotedResponse): void {
+    const {notice, sentAt, isSuccess} = response;
+    this.options.limits.observe({
+      incarnation,
+      ratePerSecond: notice.requestsPerSecond,
+      sentAt,
+      isSuccess,
+    });
+  }
+
+  /**
+   * Waits until a request may be sent to an endpoint, at most for as long as it can
+   * still meet its latency objective.
+   *
+   * @returns Undefined if it may be sent now, else the monotonic time at which its
+   *   caller may return.
+   */
+  async roomAt(
+    candidate: LimitedCandidate,
+    signal: AbortSignal,
+  ): Promise<number | undefined> {
+    const {endpoint, request, waitsUntil} = candidate;
+    if (!this.has(endpoint)) return undefined;
+    const {clock, permits, registry} = this.options;
+    const horizon = Math.min(
+      request.route.objectiveMilliseconds,
+      waitsUntil - clock.monotonicMilliseconds(),
+    );
+    const permit = await permits.acquire(endpoint.incarnation, horizon);
+    if (permit.kind === 'denied') return permit.returnAt;
+    const delay = permit.at - clock.monotonicMilliseconds();
+    if (delay > 0) await sleep(clock, delay, signal);
+    // The endpoint may have begun to leave meanwhile.
+    return registry.usable(request.service.name).includes(endpoint)
+      ? undefined
+      : clock.monotonicMilliseconds();
+  }
+}
--- /dev/null
+++ b/src/engines/_refusal.ts
@@ -0,0 +1,36 @@
+import {
+  failure,
+  REQUEST_ERROR_CODES,
+  REQUEST_STEPS,
+  type RequestError,
+  type RequestErrorCode,
+  type Result,
+  RUN_STATES,
+} from '../errors/mod.ts';
+import type {Endpoint} from '../fleet/mod.ts';
+
+/** Refuses a request for a model that the configuration does not have. */
+export function modelNotFound(
+  service: string,
+  model: string,
+): Result<Endpoint, RequestError> {
+  return refusal(
+    REQUEST_ERROR_CODES.modelNotFound,
+    `Service "${service}" has no model "${model}"`,
+  );
+}
+
+/** Refuses a request that no endpoint has executed. */
+export function refusal(
+  code: RequestErrorCode,
+  message: string,
+  retryAfterMilliseconds?: number,
+): Result<Endpoint, RequestError> {
+  return failure({
+    code,
+    message,
+    step: REQUEST_STEPS.place,
+    run: RUN_STATES.notRun,
+    ...(retryAfterMilliseconds === undefined ? {} : {retryAfterMilliseconds}),
+  });
+}
--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -4,9 +4,7 @@
   REQUEST_ERROR_CODES,
   REQUEST_STEPS,
   type RequestError,
-  type RequestErrorCode,
   type Result,
-  RUN_STATES,
   success,
 } from '../errors/mod.ts';
 import {
@@ -20,16 +18,22 @@
   drainingError,
   type EndpointPreference,
   type EndpointSource,
+  type NotedResponse,
   type RoutedRequest,
   targetOf,
 } from '../relay/mod.ts';
+import type {EndpointLimits, PermitBroker} from '../permits/mod.ts';
 import type {Clock} from '../time/mod.ts';
+import {LimitedEndpoints} from './_limited_endpoints.ts';
+import {modelNotFound, refusal} from './_refusal.ts';
 import type {ReplicaMap} from './replica_map.ts';
 
 /** Options of {@link EndpointRouter}. */
 export interface EndpointRouterOptions {
   registry: EndpointRegistry;
   replicas: ReplicaMap;
+  limits: EndpointLimits;
+  permits: PermitBroker;
   clock: Clock;
   dataCentre: string;
   /** Returns a service of the current configuration. */
@@ -72,6 +76,7 @@
  * loaded wait for a load.
  */
 export class EndpointRouter implements EndpointSource {
+  private readonly limited: LimitedEndpoints;
   private readonly waiters = new Map<string, Set<Waiter>>();
   private readonly refused = new Map<string, RefusedDemand>();
   private readonly arrivals = new Map<string, ArrivalCount>();
@@ -79,6 +84,7 @@
   private waitsEndAt = Number.POSITIVE_INFINITY;
 
   constructor(private readonly options: EndpointRouterOptions) {
+    this.limited = new LimitedEndpoints(options);
     options.registry.onChange(() => this.recheckWaiting());
     options.replicas.onChange(() => this.recheckWaiting());
   }
@@ -106,23 +112,39 @@
         return modelNotFound(service.name, model);
       }
     }
+    // Endpoints that have no room for this request, and when there will be some.
+    const returnAt = new Map<string, number>();
     for (;;) {
-      const candidates = isModelRequest
-        ? this.options.replicas.holders(service.name, target)
-        : this.options.registry.usable(service.name);
-      const chosen = this.choose(candidates, request, excluded, preference);
-      if (chosen !== undefined) return success(chosen);
+      const candidates = this.candidates(service.name, target, isModelRequest);
+      const open = candidates.filter(
+        ({incarnation}) => !returnAt.has(incarnation),
+      );
+      const chosen = this.choose(open, request, excluded, preference);
+      if (chosen !== undefined) {
+        const waitsUntil = this.waitDeadline(request);
+        const roomAt = await this.limited.roomAt(
+          {endpoint: chosen, request, waitsUntil},
+          signal,
+        );
+        if (roomAt === undefined) return success(chosen);
+        returnAt.set(chosen.incarnation, roomAt);
+        continue;
+      }
+      const roomAt = Math.min(...returnAt.values());
       if (!isModelRequest) {
+        const now = this.options.clock.monotonicMilliseconds();
         return refusal(
           REQUEST_ERROR_CODES.overloaded,
           `No endpoint of "${service.name}" can be used`,
-          RETRY_AFTER_MILLISECONDS,
+          Number.isFinite(roomAt) ? roomAt - now : RETRY_AFTER_MILLISECONDS,
         );
       }
       const refused =
-        this.refuseIfRemoved(request) ?? this.refuseIfTooLate(request, target);
+        this.refuseIfRemoved(request) ??
+        this.refuseIfTooLate(request, target, roomAt);
       if (refused !== undefined) return refused;
       await this.wait(request, target, signal);
+      returnAt.clear();
       if (signal.aborted) {
         return refusal(
           REQUEST_ERROR_CODES.noReplica,
@@ -144,6 +166,10 @@
     this.recheckWaiting();
   }
 
+  noteResponse(endpoint: Endpoint, response: NotedResponse): void {
+    this.limited.observe(endpoint, response);
+  }
+
   noteRefused(request: RoutedRequest, endpoint: Endpoint): void {
     this.options.replicas.recordRefusal(endpoint, targetOf(request.metadata));
   }
@@ -158,9 +184,8 @@
       if (!this.refused.has(key) || this.waiters.has(key)) return [];
       const target = targetOf(request.metadata);
       const {service, priority} = request;
-      if (this.options.replicas.holders(service.name, target).length > 0) {
-        return [];
-      }
+      const holders = this.options.replicas.holders(service.name, target);
+      if (holders.some(endpoint => !this.limited.has(endpoint))) return [];
       // Nobody waits: age must not justify evictions or loads from the weight store.
       const waitedMilliseconds = 0;
       return [
@@ -204,6 +229,17 @@
     this.arrivals.set(key, {service, model, requests});
   }
 
+  private candidates(
+    service: string,
+    target: string,
+    isModelRequest: boolean,
+  ): readonly Endpoint[] {
+    const {replicas, registry} = this.options;
+    return isModelRequest
+      ? replicas.holders(service, target)
+      : registry.usable(service);
+  }
+
   private choose(
     candidates: readonly Endpoint[],
     request: RoutedRequest,
@@ -218,6 +254,7 @@
       now: this.options.clock.monotonicMilliseconds(),
       excluded,
       dataCentre: this.options.dataCentre,
+      isLimited: endpoint => this.limited.has(endpoint),
       ...(session === undefined
         ? {}
         : {affinityKey: `${targetOf(request.metadata)} ${session}`}),
@@ -247,26 +284,35 @@
 
   /**
    * Refuses a request whose model cannot be loaded before its caller times out or
-   * this host stops: at once if the manager of the pool already knows it.
+   * this host stops: at once if the manager of the pool already knows it. Of a model
+   * whose engines have no room, another replica must be expected in time.
+   *
+   * @param roomAt Monotonic time at which one of them has room; Infinity if no engine
+   *     has the model.
    */
   private refuseIfTooLate(
     request: RoutedRequest,
     target: string,
+    roomAt: number,
   ): Result<Endpoint, RequestError> | undefined {
     const {clock, replicas, onDemandChanged} = this.options;
     const now = clock.monotonicMilliseconds();
     const deadline = this.waitDeadline(request);
     const service = request.service.name;
     const model = request.metadata.model ?? target;
-    const readyAt =
-      replicas.expectedAt(service, model) ??
-      replicas.remoteReadyAt(service, model) ??
-      now;
-    if (now < deadline && readyAt < deadline) return undefined;
+    const hasReplica = Number.isFinite(roomAt);
+    const expectedAt = replicas.expectedAt(service, model);
+    const readyAt = hasReplica
+      ? Math.min(expectedAt ?? Infinity, roomAt)
+      : (expectedAt ?? replicas.remoteReadyAt(service, model) ?? now);
+    const isAwaitable = !hasReplica || expectedAt !== undefined;
+    if (now < deadline && readyAt < deadline && isAwaitable) return undefined;
     if (deadline === this.waitsEndAt) {
       return failure(drainingError(REQUEST_STEPS.place));
     }
-    const retryAfter = Math.max(RETRY_AFTER_MILLISECONDS, readyAt - now);
+    const retryAfter = hasReplica
+      ? Math.max(1, readyAt - now)
+      : Math.max(RETRY_AFTER_MILLISECONDS, readyAt - now);
     this.refused.set(`${service} ${target}`, {
       request,
       until:
@@ -277,7 +323,9 @@
     onDemandChanged();
     return refusal(
       REQUEST_ERROR_CODES.noReplica,
-      `No engine can load "${target}" within the caller's time-out`,
+      hasReplica
+        ? `The engines that have loaded "${target}" take no more requests now`
+        : `No engine can load "${target}" within the caller's time-out`,
       retryAfter,
     );
   }
@@ -330,27 +378,3 @@
   const readyAt = now + (model?.diskLoadMilliseconds ?? 0);
   return readyAt <= arrivedAt + route.objectiveMilliseconds;
 }
-
-function modelNotFound(
-  service: string,
-  model: string,
-): Result<Endpoint, RequestError> {
-  return refusal(
-    REQUEST_ERROR_CODES.modelNotFound,
-    `Service "${service}" has no model "${model}"`,
-  );
-}
-
-function refusal(
-  code: RequestErrorCode,
-  message: string,
-  retryAfterMilliseconds?: number,
-): Result<Endpoint, RequestError> {
-  return failure({
-    code,
-    message,
-    step: REQUEST_STEPS.place,
-    run: RUN_STATES.notRun,
-    ...(retryAfterMilliseconds === undefined ? {} : {retryAfterMilliseconds}),
-  });
-}
--- a/src/engines/removed_model_test.ts
+++ b/src/engines/removed_model_test.ts
@@ -3,6 +3,7 @@
 import {EndpointRegistry} from '../fleet/mod.ts';
 import {SILENT_LOGGER} from '../observability/mod.ts';
 import type {RoutedRequest} from '../relay/mod.ts';
+import {EndpointLimits, PermitBroker} from '../permits/mod.ts';
 import {ManualClock} from '../testing/manual_clock.ts';
 import {EndpointRouter, ReplicaMap} from './mod.ts';
 
@@ -90,9 +91,26 @@
     });
     const admittedTo = serviceWith(['model-a']);
     let current: ServiceConfiguration | undefined = admittedTo;
+    const limits = new EndpointLimits({
+      clock,
+      logger: SILENT_LOGGER,
+      announce: () => undefined,
+    });
     const router = new EndpointRouter({
       registry,
       replicas: new ReplicaMap({registry, clock}),
+      limits,
+      permits: new PermitBroker({
+        clock,
+        limits,
+        selfId: 'host-1',
+        granter: () => 'host-1',
+        isStandbyHost: () => false,
+        grantedShare: () => 1,
+        evenShare: () => 1,
+        send: () => false,
+        random: () => 0,
+      }),
       clock,
       dataCentre: 'zone-a',
       service: () => current,
--- a/src/entry/_fleet_state_exchange_options.ts
+++ b/src/entry/_fleet_state_exchange_options.ts
@@ -3,6 +3,7 @@
 import type {FleetRateLimiter} from '../limits/mod.ts';
 import type {EventLogger} from '../observability/mod.ts';
 import type {PeerNetwork} from '../peers/mod.ts';
+import type {EndpointLimits, PermitBroker} from '../permits/mod.ts';
 import type {CrashTracker, PromptPartQuarantine} from '../relay/mod.ts';
 import type {TableUpdate} from '../stores/mod.ts';
 import type {Clock} from '../time/mod.ts';
@@ -20,6 +21,8 @@
   router: EndpointRouter;
   crashTracker: CrashTracker;
   promptParts: PromptPartQuarantine;
+  limits: EndpointLimits;
+  permits: PermitBroker;
   /** Called when a peer reports waiting requests, which may be for a pool managed here. */
   onDemandChanged: () => void;
   /** Called when the manager of a pool announced replicas or renewed its lease. */
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -2,7 +2,6 @@
 import {EndpointRouter, ReplicaMap} from '../engines/mod.ts';
 import {
   EndpointRegistry,
-  FINAL_HOPS,
   FleetLoad,
   FleetShares,
   FleetTopology,
@@ -19,8 +18,10 @@
   PromptPartQuarantine,
   RequestRelay,
 } from '../relay/mod.ts';
+import {EndpointLimits, PermitBroker} from '../permits/mod.ts';
 import {StoreClock} from '../stores/mod.ts';
 import type {Clock} from '../time/mod.ts';
+import {bindPermits} from './_bind_permits.ts';
 import {ConfigurationSource} from './configuration_source.ts';
 import {createIdentity, hostRow} from './_host_identity.ts';
 import {EntryListeners} from './entry_listeners.ts';
@@ -31,6 +32,7 @@
 import type {PlatformAdapter} from './platform_adapter.ts';
 import {PeerTraffic} from './peer_traffic.ts';
 import {PoolSupervisor} from './pool_supervisor.ts';
+import {sendCurrentState} from './_send_current_state.ts';
 import {StoreFollowers} from './store_followers.ts';
 
 /** Dependencies that all components of an entry host share. */
@@ -59,6 +61,7 @@
   container.bind(Metrics).toConstantValue(metrics);
   container.bind(EntryState).toConstantValue(state);
   bindFleet(container, context, self);
+  bindPermits(container, context, self);
   bindRequests(container, context);
   bindStore(container, context, self);
   return container;
@@ -145,6 +148,8 @@
         router: container.get(EndpointRouter),
         crashTracker: container.get(CrashTracker),
         promptParts: container.get(PromptPartQuarantine),
+        limits: container.get(EndpointLimits),
+        permits: container.get(PermitBroker),
         onDemandChanged: () => container.get(PoolSupervisor).notify(),
         onManagerAnnounced: (service, renewal) =>
           container.get(PoolSupervisor).recordManager(service, renewal),
@@ -156,24 +161,7 @@
           container.get(StoreFollowers).receive(update, from),
         missingTables: () => container.get(StoreFollowers).missingTables(),
         tableContent: table => container.get(StoreFollowers).content(table),
-        onPeerConnected: hostId => {
-          const peers = container.get(PeerNetwork);
-          container.get(PoolSupervisor).announceTo(announcement =>
-            peers.send(hostId, {
-              kind: 'replica_state',
-              hops: 0,
-              ...announcement,
-            }),
-          );
-          for (const change of container
-            .get(PromptPartQuarantine)
-            .currentChanges())
-            peers.send(hostId, {
-              kind: 'prompt_part',
-              hops: FINAL_HOPS,
-              ...change,
-            });
-        },
+        onPeerConnected: hostId => sendCurrentState(container, hostId),
       }),
   );
 }
@@ -199,6 +187,8 @@
       new EndpointRouter({
         registry: container.get(EndpointRegistry),
         replicas: container.get(ReplicaMap),
+        limits: container.get(EndpointLimits),
+        permits: container.get(PermitBroker),
         clock,
         dataCentre: settings.dataCentre,
         service: name =>
--- a/src/entry/fleet_state_exchange.ts
+++ b/src/entry/fleet_state_exchange.ts
@@ -16,6 +16,7 @@
   | 'replica_state'
   | 'lease_resigned'
   | 'request_broke_endpoint'
+  | 'endpoint_limit'
   | 'prompt_part'
 >;
 
@@ -269,6 +270,19 @@
         this.options.promptParts.receive(message.service, message.change);
         this.passOn(from, message);
         return;
+      case 'endpoint_limit':
+        this.options.limits.receive(
+          message.incarnation,
+          message.ratePerSecond ?? undefined,
+        );
+        this.passOn(from, message);
+        return;
+      case 'permit_request':
+        void this.options.permits.answer(from.hostId, message);
+        return;
+      case 'permit_reply':
+        this.options.permits.receive(message);
+        return;
       case 'table_update':
         this.receiveTableUpdate(from, message);
         return;
--- a/src/fleet/choose_endpoint.ts
+++ b/src/fleet/choose_endpoint.ts
@@ -9,6 +9,8 @@
   excluded: ReadonlySet<string>;
   /** Data centre of this host; its endpoints are preferred at similar load. */
   dataCentre: string;
+  /** Whether an endpoint takes a limited number of requests. @default none does */
+  isLimited?: (endpoint: Endpoint) => boolean;
   /** Requests with the same key prefer the same endpoint. */
   affinityKey?: string;
 }
@@ -22,6 +24,9 @@
 /** Weight of the failure rate relative to occupancy. */
 const FAILURE_WEIGHT = 2;
 
+/** Cost of an endpoint that asks for fewer requests, in occupancy. */
+const LIMITED_COST = 0.5;
+
 /** Cost reduction of an endpoint in the host's data centre, in occupancy. */
 const LOCAL_ADVANTAGE = 0.08;
 
@@ -66,7 +71,8 @@
   const isLocal = endpoint.record.dataCentre === options.dataCentre;
   return (
     endpoint.occupancy +
-    endpoint.condition.failureRate * FAILURE_WEIGHT -
+    endpoint.condition.failureRate * FAILURE_WEIGHT +
+    (options.isLimited?.(endpoint) === true ? LIMITED_COST : 0) -
     (isLocal ? LOCAL_ADVANTAGE : 0)
   );
 }
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -45,6 +45,7 @@
   type WaitingTarget,
 } from './fleet_load.ts';
 export {chooseEndpoint, type ChooseEndpointOptions} from './choose_endpoint.ts';
+export {chooseGranter, type GranterInput} from './choose_granter.ts';
 export {
   FINAL_HOPS,
   type Forwarding,
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -258,6 +258,16 @@
     message:
       'Row of an endpoint expired while the store was unavailable; waiting for the endpoint to return',
   },
+  endpointLimited: {
+    number: 618,
+    level: 'info',
+    message: 'Endpoint takes a limited number of requests from all hosts',
+  },
+  endpointLimitEnded: {
+    number: 619,
+    level: 'info',
+    message: 'Endpoint takes any number of requests again',
+  },
   circuitOpened: {
     number: 613,
     level: 'warn',
--- a/src/peers/peer_message.ts
+++ b/src/peers/peer_message.ts
@@ -237,6 +237,32 @@
     /** Time since its last order; negative while an order may still arrive. */
     sinceOrderMilliseconds: milliseconds,
   }),
+  /** Reports how many requests a second an endpoint takes from all hosts. */
+  z.object({
+    kind: z.literal('endpoint_limit'),
+    hops,
+    /** Process of the endpoint. */
+    incarnation: z.string(),
+    /** Null when the endpoint names no limit any more. */
+    ratePerSecond: z.number().nonnegative().nullable(),
+  }),
+  /** Asks for a permit to send one request to an endpoint with a limit. */
+  z.object({
+    kind: z.literal('permit_request'),
+    id: correlationId,
+    incarnation: z.string(),
+    /** Limit that the sender knows. */
+    ratePerSecond: z.number().nonnegative(),
+    /** Longest time that the request can wait. */
+    horizonMilliseconds: milliseconds,
+  }),
+  z.object({
+    kind: z.literal('permit_reply'),
+    id: correlationId,
+    isGranted: z.boolean(),
+    /** Time until the request may be sent, or until its caller may return. */
+    inMilliseconds: milliseconds.nonnegative(),
+  }),
   /** Reports that an endpoint broke off while it ran a request. */
   z.object({
     kind: z.literal('request_broke_endpoint'),
--- a/src/platform/platform_wire_format.ts
+++ b/src/platform/platform_wire_format.ts
@@ -11,6 +11,7 @@
   RequestMetadata,
   ResponseHead,
   WireFormat,
+  EndpointNotice,
 } from '../relay/mod.ts';
 
 /** Header names of the platform, in the letter case in which they are sent. */
@@ -31,6 +32,8 @@
   notRun: 'Not-Executed',
   retryAfter: 'Retry-After',
   priority: 'Request-Priority',
+  /** Requests a second from all hosts together. */
+  requestLimit: 'Server-Limit',
 } as const;
 
 /** Rewritten for each message (Content-Length) or handled by this host (Expect). */
@@ -75,6 +78,7 @@
   isAuthentic: response =>
     response.headers[HEADERS.signature.toLowerCase()] !== undefined &&
     response.headers['content-encoding'] === undefined,
+  readNotice,
   responseHeaders: response =>
     withoutHeaders(
       response.rawHeaders,
@@ -84,10 +88,32 @@
 };
 
 function requestIdOf(response: IncomingMessage): string | undefined {
-  const value = response.headers[HEADERS.requestId.toLowerCase()];
+  return responseHeader(response, HEADERS.requestId);
+}
+
+function responseHeader(
+  response: IncomingMessage,
+  name: string,
+): string | undefined {
+  const value = response.headers[name.toLowerCase()];
   return Array.isArray(value) ? value[0] : value;
 }
 
+function readNotice(response: IncomingMessage): EndpointNotice {
+  return {
+    requestsPerSecond: parseDecimal(
+      responseHeader(response, HEADERS.requestLimit),
+    ),
+  };
+}
+
+/** Parses a decimal number that is not negative; undefined for anything else. */
+function parseDecimal(value: string | undefined): number | undefined {
+  return value !== undefined && /^\d+(\.\d+)?$/.test(value.trim())
+    ? Number(value)
+    : undefined;
+}
+
 function readMetadata(headers: IncomingHttpHeaders): RequestMetadata {
   const value = (name: string) => {
     const found = headers[name.toLowerCase()];
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -20,6 +20,8 @@
 import {failureCode} from './_failure_code.ts';
 import {findMismatch} from './_find_mismatch.ts';
 import {
+  HOLD_SHARE,
+  MAXIMUM_DISPATCHES,
   mayRunAgain,
   NOT_EXECUTED_STATUSES,
   responseTimeout,
@@ -33,18 +35,6 @@
 /** Connect time-out; the network latency to endpoints is a few milliseconds. */
 const CONNECT_TIMEOUT_MILLISECONDS = 500;
 
-/**
- * Maximum number of times one request is sent, including attempts that no
- * endpoint executed.
- */
-const MAXIMUM_DISPATCHES = 4;
-
-/**
- * Fraction of the latency objective for which an attempt may wait for the trial of
- * a suspected part of its prompt.
- */
-const HOLD_SHARE = 0.4;
-
 /** Sends a request to endpoints until one responds or no retry is allowed. */
 export class AttemptLoop {
   private readonly excluded = new Set<string>();
@@ -54,6 +44,8 @@
   private hasBegun = false;
   private dispatchCount = 0;
   private runCount = 0;
+  /** Monotonic time of the last dispatch. */
+  private sentAt = 0;
 
   constructor(
     private readonly options: RequestRelayOptions,
@@ -176,6 +168,7 @@
   ): Promise<AttemptOutcome> {
     const target = targetOf(this.context.request.metadata);
     this.dispatchCount++;
+    this.sentAt = this.options.clock.monotonicMilliseconds();
     this.hasBegun = false;
     this.context.log.recordDispatch(endpoint);
     endpoint.begin(target);
@@ -270,8 +263,11 @@
     const {wireFormat, endpoints} = this.options;
     const {request, log} = this.context;
     const {message, status} = endpointResponse;
+    const {sentAt} = this;
     log.step = REQUEST_STEPS.relay;
+    const notice = wireFormat.readNotice(message);
     if (wireFormat.isNotRun(message, request.metadata.requestId)) {
+      endpoints.noteResponse(endpoint, {notice, sentAt, isSuccess: false});
       discardResponse(endpointResponse);
       endpoint.condition.recordAnswer(false);
       // An engine that was full or lacked the model may soon be the only one
@@ -294,6 +290,7 @@
       return {kind: 'broken', reason: `response discarded: ${mismatch}`};
     }
     const isSuccess = status >= 200 && status < 300;
+    endpoints.noteResponse(endpoint, {notice, sentAt, isSuccess});
     return isSuccess && request.route.kind === 'streaming'
       ? this.relayStream(endpoint, endpointResponse, run)
       : this.relayBuffered(endpoint, endpointResponse, run);
--- a/src/relay/_retry_rules.ts
+++ b/src/relay/_retry_rules.ts
@@ -1,5 +1,17 @@
 import type {Route} from '../deployment/mod.ts';
 
+/**
+ * Maximum number of times one request is sent, including attempts that no
+ * endpoint executed.
+ */
+export const MAXIMUM_DISPATCHES = 4;
+
+/**
+ * Fraction of the latency objective for which an attempt may wait for the trial of
+ * a suspected part of its prompt.
+ */
+export const HOLD_SHARE = 0.4;
+
 /**
  * Fraction of the remaining time that an attempt at an idempotent request may
  * take. It leaves time for a retry when an endpoint does not respond.
--- a/src/relay/endpoint_source.ts
+++ b/src/relay/endpoint_source.ts
@@ -2,6 +2,7 @@
 import type {RequestError, Result} from '../errors/mod.ts';
 import type {Endpoint} from '../fleet/mod.ts';
 import type {RequestMetadata} from './request_metadata.ts';
+import type {EndpointNotice} from './wire_format.ts';
 
 /** An admitted request with its route and service. */
 export interface RoutedRequest {
@@ -24,6 +25,15 @@
   /** The one with the lowest load. */
   | 'least_loaded';
 
+/** A response of an endpoint to a request of this host. */
+export interface NotedResponse {
+  readonly notice: EndpointNotice;
+  /** Monotonic time at which the request was sent. */
+  readonly sentAt: number;
+  /** Whether the endpoint has served the request. */
+  readonly isSuccess: boolean;
+}
+
 /** Selects endpoints for requests. */
 export interface EndpointSource {
   /**
@@ -39,6 +49,8 @@
     signal: AbortSignal,
     preference: EndpointPreference,
   ): Promise<Result<Endpoint, RequestError>>;
+  /** Records what an endpoint says of itself in a response. */
+  noteResponse(endpoint: Endpoint, response: NotedResponse): void;
   /** Records that an endpoint refused a request because it was full or lacked the model. */
   noteRefused(request: RoutedRequest, endpoint: Endpoint): void;
 }
--- a/src/relay/mod.ts
+++ b/src/relay/mod.ts
@@ -9,6 +9,7 @@
  * @module
  */
 export type {
+  EndpointNotice,
   ForwardingMetadata,
   ResponseHead,
   WireFormat,
@@ -16,6 +17,7 @@
 export {
   type EndpointPreference,
   type EndpointSource,
+  type NotedResponse,
   type RoutedRequest,
   targetOf,
 } from './endpoint_source.ts';
--- a/src/relay/wire_format.ts
+++ b/src/relay/wire_format.ts
@@ -23,6 +23,12 @@
   readonly headers: readonly string[];
 }
 
+/** What an endpoint says of itself in a response. */
+export interface EndpointNotice {
+  /** Requests a second that it takes from all hosts; undefined without a limit. */
+  readonly requestsPerSecond: number | undefined;
+}
+
 /** Header names and formats of requests and responses on a platform. */
 export interface WireFormat {
   /** Parses the headers of a caller's request. */
@@ -42,6 +48,8 @@
   matchesRequest(response: IncomingMessage, requestId: string): boolean;
   /** Whether a response bears the endpoint's signature and has no content encoding. */
   isAuthentic(response: IncomingMessage): boolean;
+  /** Reads what the endpoint says of itself, in a response of any status. */
+  readNotice(response: IncomingMessage): EndpointNotice;
   /** Returns an endpoint's response headers for the caller, without framing. */
   responseHeaders(response: IncomingMessage): string[];
   /** Returns the response head for a request that was refused or failed. */
