Load a model once more while its engines take fewer requests than it gets

What callers saw: requests for a model that only one engine has are refused for as long as that engine limits its requests, though others could load it.

Cause: placement counted the engine as a full replica, so demand of refused callers loaded nothing, and chose limited engines for further loads.

Evidence: plan_placement_test.ts, 'a model whose engine takes too few requests': no load before, one on another engine now.

Why this works: a replica counts only if its engine takes the requests that its models get, and an engine with a limit is the last choice for a load.

--- a/src/engines/_placement_plan.ts
+++ b/src/engines/_placement_plan.ts
@@ -67,6 +67,12 @@
  */
 const MINIMUM_EVICTION_COST_MILLISECONDS = 10;
 
+/**
+ * Cost of loading on an engine that asks for fewer requests, in milliseconds; longer
+ * than any load.
+ */
+const LIMITED_ENGINE_COST_MILLISECONDS = 30_000;
+
 /** State of one call of {@link planPlacement}. */
 export class PlacementPlan {
   readonly loads: PlannedLoad[] = [];
@@ -97,7 +103,9 @@
     );
     this.preloads = input.preloadsAllowed;
     for (const engine of input.engines) {
-      for (const model of engine.models) increase(this.replicas, model, 1);
+      if (this.hasRoom(engine)) {
+        for (const model of engine.models) increase(this.replicas, model, 1);
+      }
       for (const [model, requests] of engine.inFlight) {
         increase(this.inFlight, model, requests);
       }
@@ -191,7 +199,13 @@
       isBusy,
       // At equal cost, prefers the engine with the fewest local copies, which
       // spreads copies over the engines.
-      cost: expectedMilliseconds + evictions.cost + copies,
+      cost:
+        expectedMilliseconds +
+        evictions.cost +
+        copies +
+        (engine.requestsPerSecond === undefined
+          ? 0
+          : LIMITED_ENGINE_COST_MILLISECONDS),
       load: {
         engineId: engine.id,
         model: model.name,
@@ -287,6 +301,23 @@
     return count * megabytes;
   }
 
+  /**
+   * Whether an engine takes the requests that its models get from all engines that
+   * have them. If not, others must load them as well.
+   */
+  private hasRoom({models, requestsPerSecond}: EngineSnapshot): boolean {
+    if (requestsPerSecond === undefined) return true;
+    let expected = 0;
+    for (const model of models) {
+      const demand = this.input.demand.get(model);
+      const holders = this.input.engines.filter(engine =>
+        engine.models.has(model),
+      ).length;
+      expected += (demand?.ratePerSecond ?? 0) / Math.max(1, holders);
+    }
+    return expected <= requestsPerSecond;
+  }
+
   /** Standby replicas are added only while no request waits. */
   private needsReplica(model: string): boolean {
     const replicas = this.replicasOf(model);
--- a/src/engines/_snapshot_engines.ts
+++ b/src/engines/_snapshot_engines.ts
@@ -1,3 +1,4 @@
+import {incarnationOf} from '../fleet/mod.ts';
 import {splitTarget} from './_split_target.ts';
 import type {EngineState} from './engine_state.ts';
 import type {EngineSnapshot} from './engine_snapshot.ts';
@@ -12,11 +13,13 @@
  * Captures the state of the reachable engines for placement.
  *
  * @param inFlight Unfinished requests by engine and then by target.
+ * @param limitOf Requests a second that a process takes; undefined without a limit.
  */
 export function snapshotEngines(
   engines: Iterable<EngineState>,
   inFlight: ReadonlyMap<string, ReadonlyMap<string, number>>,
   now: number,
+  limitOf: (incarnation: string) => number | undefined,
 ): readonly EngineSnapshot[] {
   return [...engines]
     .filter(engine => !engine.isUnreachable)
@@ -34,6 +37,7 @@
         busyMilliseconds: isBlocked ? Math.max(remaining, 50) : remaining,
         inMemory: engine.inMemory,
         onDisk: engine.onDisk,
+        requestsPerSecond: limitOf(incarnationOf(engine.record)),
         inFlight: byModel(inFlight.get(engine.record.id)),
         recentlyLoaded: new Set(
           [...engine.loadedAt]
--- a/src/engines/engine_snapshot.ts
+++ b/src/engines/engine_snapshot.ts
@@ -18,6 +18,8 @@
    * yet.
    */
   readonly recentlyLoaded: ReadonlySet<string>;
+  /** Requests a second that the engine takes; undefined if it names no limit. */
+  readonly requestsPerSecond: number | undefined;
   /** Milliseconds since each model was loaded; only loads by this manager. */
   readonly loadAges: ReadonlyMap<string, number>;
 }
--- a/src/engines/forecast_loads_test.ts
+++ b/src/engines/forecast_loads_test.ts
@@ -38,6 +38,7 @@
     inFlight: new Map(),
     recentlyLoaded: new Set(),
     loadAges: new Map(),
+    requestsPerSecond: undefined,
     ...more,
   };
 }
--- a/src/engines/plan_placement_test.ts
+++ b/src/engines/plan_placement_test.ts
@@ -46,6 +46,7 @@
     inFlight: new Map(),
     recentlyLoaded: new Set(),
     loadAges: new Map(),
+    requestsPerSecond: undefined,
     ...more,
   };
 }
@@ -125,6 +126,26 @@
     },
     expected: [],
   },
+  // Callers of a model were refused as long as its engine asked for fewer requests.
+  {
+    name: 'a model whose engine takes too few requests is loaded on another one',
+    engines: [
+      engine('e1', ['rare-1'], {requestsPerSecond: 1}),
+      engine('e2', ['busy'], {onDisk: new Set(['rare-1'])}),
+      engine('e3', [], {requestsPerSecond: 1, inMemory: new Set(['rare-1'])}),
+    ],
+    demand: {'rare-1': {...waiting(), ratePerSecond: 4}},
+    expected: [['e2', 'rare-1', []]],
+  },
+  {
+    name: 'a model whose engine takes its requests is not loaded once more',
+    engines: [
+      engine('e1', ['rare-1'], {requestsPerSecond: 5}),
+      engine('e2', ['busy'], {onDisk: new Set(['rare-1'])}),
+    ],
+    demand: {'rare-1': {...waiting(), ratePerSecond: 2}},
+    expected: [],
+  },
   {
     name: 'a model that requests wait for is never evicted',
     engines: [engine('e1', ['rare-1', 'rare-2'])],
--- a/src/engines/pool_manager.ts
+++ b/src/engines/pool_manager.ts
@@ -4,6 +4,7 @@
 } from '../deployment/mod.ts';
 import type {EndpointRegistry, FleetLoad} from '../fleet/mod.ts';
 import type {EventLogger, Metrics} from '../observability/mod.ts';
+import type {EndpointLimits} from '../permits/mod.ts';
 import {type Clock, sleep} from '../time/mod.ts';
 import {describeReplicas, ReplicaAnnouncer} from './_replica_announcer.ts';
 import {AdapterLoader} from './_adapter_loader.ts';
@@ -30,6 +31,7 @@
   lease: PoolLease;
   registry: EndpointRegistry;
   load: FleetLoad;
+  limits: EndpointLimits;
   control: EngineControl;
   clock: Clock;
   logger: EventLogger;
@@ -180,7 +182,12 @@
       isLoaded: model => this.isLoaded(model),
     });
     this.recheckHolders(demand, now);
-    const engines = snapshotEngines(this.engines.values(), inFlight, now);
+    const engines = snapshotEngines(
+      this.engines.values(),
+      inFlight,
+      now,
+      incarnation => this.options.limits.rateOf(incarnation),
+    );
     const remoteLoadsAllowed = this.budget.allowed(now);
     const loads = planPlacement({
       pool,
--- a/src/engines/pool_manager_test.ts
+++ b/src/engines/pool_manager_test.ts
@@ -3,6 +3,7 @@
 import {EndpointRegistry, FleetLoad} from '../fleet/mod.ts';
 import {Metrics, SILENT_LOGGER} from '../observability/mod.ts';
 import type {RowStore} from '../stores/mod.ts';
+import {EndpointLimits} from '../permits/mod.ts';
 import {ManualClock} from '../testing/manual_clock.ts';
 import {
   type OrderOutcome,
@@ -89,6 +90,11 @@
   const manager = new PoolManager({
     service: () => service,
     hostId: 'host-1',
+    limits: new EndpointLimits({
+      clock,
+      logger: SILENT_LOGGER,
+      announce: () => undefined,
+    }),
     lease,
     registry,
     load: new FleetLoad({
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -352,6 +352,7 @@
         engines: platform.engines,
         registry: container.get(EndpointRegistry),
         load: container.get(FleetLoad),
+        limits: container.get(EndpointLimits),
         configuration: container.get(ConfigurationSource),
         clock,
         logger,
--- a/src/entry/pool_supervisor.ts
+++ b/src/entry/pool_supervisor.ts
@@ -7,6 +7,7 @@
 } from '../engines/mod.ts';
 import type {EndpointRegistry, FleetLoad} from '../fleet/mod.ts';
 import type {EventLogger, Metrics} from '../observability/mod.ts';
+import type {EndpointLimits} from '../permits/mod.ts';
 import type {RowStore} from '../stores/mod.ts';
 import type {Clock} from '../time/mod.ts';
 import type {ConfigurationSource} from './configuration_source.ts';
@@ -17,6 +18,7 @@
   engines: EngineControl;
   registry: EndpointRegistry;
   load: FleetLoad;
+  limits: EndpointLimits;
   configuration: ConfigurationSource;
   clock: Clock;
   logger: EventLogger;
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -9,7 +9,11 @@
  *
  * @module
  */
-export {Endpoint, IDLE_CONNECTION_MILLISECONDS} from './endpoint.ts';
+export {
+  Endpoint,
+  IDLE_CONNECTION_MILLISECONDS,
+  incarnationOf,
+} from './endpoint.ts';
 export {
   EndpointCondition,
   type EndpointConditionOptions,
--- a/src/testing/engine_pool_simulation.ts
+++ b/src/testing/engine_pool_simulation.ts
@@ -214,6 +214,7 @@
       busyMilliseconds:
         order === undefined ? 0 : Math.max(50, (readyAt ?? now) - now),
       inMemory: new Set(),
+      requestsPerSecond: undefined,
       onDisk: engine.onDisk,
       inFlight: new Map(
         [...engine.models].map(([model, ends]) => [model, ends.length]),
