Observe what an endpoint says of itself: that it leaves, and wants no requests

Cause: only the rows of the store told that an endpoint leaves, and no header of a rejection was read. What was known of a leaving process was forgotten with its row, although rows return after an outage of the store.

Why this works: a notice is read from each response that belongs to the request, of any status. Leaving is final for a process, announced to all hosts and to those that connect later, and remembered (10,000 processes) after its row is gone.

--- a/src/engines/_limited_endpoints.ts
+++ b/src/engines/_limited_endpoints.ts
@@ -9,6 +9,8 @@
   registry: EndpointRegistry;
   limits: EndpointLimits;
   permits: PermitBroker;
+  /** Tells all hosts that a process has said that it leaves. */
+  announceLeaving: (incarnation: string) => void;
 }
 
 /** A request and the endpoint that has been chosen for it. */
@@ -19,7 +21,10 @@
   readonly waitsUntil: number;
 }
 
-/** Endpoints that take a limited number of requests from all hosts together. */
+/** Origin of what this host has learned from a response itself, for logs. */
+const OWN_RESPONSE = 'response';
+
+/** Endpoints that take no or few requests, as they say in their responses. */
 export class LimitedEndpoints {
   constructor(private readonly options: LimitedEndpointsOptions) {}
 
@@ -28,10 +33,31 @@
     return this.options.limits.rateOf(incarnation) !== undefined;
   }
 
-  /** Records what a response says of the limit of its endpoint. */
-  observe({incarnation}: Endpoint, response: NotedResponse): void {
-    const {notice, sentAt, isSuccess} = response;
-    this.options.limits.observe({
+  /** Whether an endpoint takes any number of requests now. */
+  isOpen(endpoint: Endpoint): boolean {
+    return !this.has(endpoint) && this.closedUntil(endpoint) === undefined;
+  }
+
+  /** Monotonic time until which an endpoint takes none; undefined if it takes some. */
+  closedUntil({condition}: Endpoint): number | undefined {
+    const {closedUntil} = condition;
+    const now = this.options.clock.monotonicMilliseconds();
+    return closedUntil > now ? closedUntil : undefined;
+  }
+
+  /** Records what a response says of its endpoint. */
+  observe(
+    {incarnation, condition}: Endpoint,
+    {notice, sentAt, isSuccess}: NotedResponse,
+  ): void {
+    const {clock, registry, limits, announceLeaving} = this.options;
+    if (notice.isLeaving && registry.recordLeaving(incarnation, OWN_RESPONSE))
+      announceLeaving(incarnation);
+    if (notice.closedMilliseconds !== undefined) {
+      const now = clock.monotonicMilliseconds();
+      condition.recordClosed(now + notice.closedMilliseconds);
+    }
+    limits.observe({
       incarnation,
       ratePerSecond: notice.requestsPerSecond,
       sentAt,
@@ -51,6 +77,8 @@
     signal: AbortSignal,
   ): Promise<number | undefined> {
     const {endpoint, request, waitsUntil} = candidate;
+    const closedUntil = this.closedUntil(endpoint);
+    if (closedUntil !== undefined) return closedUntil;
     if (!this.has(endpoint)) return undefined;
     const {clock, permits, registry} = this.options;
     const horizon = Math.min(
--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -34,6 +34,8 @@
   replicas: ReplicaMap;
   limits: EndpointLimits;
   permits: PermitBroker;
+  /** Tells all hosts that a process has said in a response that it leaves. */
+  announceLeaving: (incarnation: string) => void;
   clock: Clock;
   dataCentre: string;
   /** Returns a service of the current configuration. */
@@ -185,7 +187,7 @@
       const target = targetOf(request.metadata);
       const {service, priority} = request;
       const holders = this.options.replicas.holders(service.name, target);
-      if (holders.some(endpoint => !this.limited.has(endpoint))) return [];
+      if (holders.some(endpoint => this.limited.isOpen(endpoint))) return [];
       // Nobody waits: age must not justify evictions or loads from the weight store.
       const waitedMilliseconds = 0;
       return [
--- a/src/engines/removed_model_test.ts
+++ b/src/engines/removed_model_test.ts
@@ -113,6 +113,7 @@
       }),
       clock,
       dataCentre: 'zone-a',
+      announceLeaving: () => undefined,
       service: () => current,
       onDemandChanged: () => undefined,
     });
--- a/src/entry/_send_current_state.ts
+++ b/src/entry/_send_current_state.ts
@@ -1,5 +1,5 @@
 import type {Container} from 'inversify';
-import {FINAL_HOPS} from '../fleet/mod.ts';
+import {EndpointRegistry, FINAL_HOPS} from '../fleet/mod.ts';
 import {type PeerMessage, PeerNetwork} from '../peers/mod.ts';
 import {EndpointLimits} from '../permits/mod.ts';
 import {PromptPartQuarantine} from '../relay/mod.ts';
@@ -16,6 +16,8 @@
     );
   for (const change of container.get(PromptPartQuarantine).currentChanges())
     send({kind: 'prompt_part', hops: FINAL_HOPS, ...change});
+  for (const incarnation of container.get(EndpointRegistry).noticedLeaving())
+    send({kind: 'endpoint_leaving', hops: FINAL_HOPS, incarnation});
   for (const limit of container.get(EndpointLimits).current())
     send({kind: 'endpoint_limit', hops: FINAL_HOPS, ...limit});
 }
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -189,6 +189,10 @@
         replicas: container.get(ReplicaMap),
         limits: container.get(EndpointLimits),
         permits: container.get(PermitBroker),
+        announceLeaving: incarnation =>
+          container
+            .get(FleetStateExchange)
+            .announce({kind: 'endpoint_leaving', incarnation}),
         clock,
         dataCentre: settings.dataCentre,
         service: name =>
--- a/src/entry/fleet_state_exchange.ts
+++ b/src/entry/fleet_state_exchange.ts
@@ -17,6 +17,7 @@
   | 'lease_resigned'
   | 'request_broke_endpoint'
   | 'endpoint_limit'
+  | 'endpoint_leaving'
   | 'prompt_part'
 >;
 
@@ -277,6 +278,10 @@
         );
         this.passOn(from, message);
         return;
+      case 'endpoint_leaving':
+        this.options.registry.recordLeaving(message.incarnation, from.hostId);
+        this.passOn(from, message);
+        return;
       case 'permit_request':
         void this.options.permits.answer(from.hostId, message);
         return;
--- a/src/fleet/endpoint_condition.ts
+++ b/src/fleet/endpoint_condition.ts
@@ -23,6 +23,7 @@
   private consecutiveConnectFailures = 0;
   private pausedUntil = Number.NEGATIVE_INFINITY;
   private recentFailureRate = 0;
+  private refusesUntil = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: EndpointConditionOptions = {}) {}
 
@@ -36,6 +37,16 @@
     return now < this.pausedUntil;
   }
 
+  /** Monotonic time until which the endpoint wants no requests of this host. */
+  get closedUntil(): number {
+    return this.refusesUntil;
+  }
+
+  /** Records that the endpoint wants no requests of this host until a time. */
+  recordClosed(until: number): void {
+    this.refusesUntil = Math.max(this.refusesUntil, until);
+  }
+
   /** Records a complete response, with any status. */
   recordAnswer(isFailure: boolean): void {
     this.consecutiveConnectFailures = 0;
--- a/src/fleet/endpoint_registry.ts
+++ b/src/fleet/endpoint_registry.ts
@@ -2,6 +2,7 @@
 import type {EventLogger} from '../observability/mod.ts';
 import type {Clock} from '../time/mod.ts';
 import {Endpoint, incarnationOf} from './endpoint.ts';
+import {LruSet} from './lru_set.ts';
 
 /** Options of {@link EndpointRegistry}. */
 export interface EndpointRegistryOptions {
@@ -19,11 +20,17 @@
  */
 export const LAPSE_GRACE_MILLISECONDS = 2200;
 
+/** Maximum number of processes that are remembered to leave. */
+const MAXIMUM_LEAVING = 10_000;
+
 /** Endpoints known to this host from the rows of the store. */
 export class EndpointRegistry {
   private readonly endpoints = new Map<string, Endpoint>();
   private readonly pendingRemovals = new Map<string, () => void>();
-  private readonly leaving = new Set<string>();
+  /** Incarnations that leave, kept after their rows are gone: rows can return. */
+  private readonly leaving = new LruSet(MAXIMUM_LEAVING);
+  /** Those of them of which only a response has told so far. */
+  private readonly noticed = new LruSet(MAXIMUM_LEAVING);
   private readonly listeners = new Set<() => void>();
 
   constructor(private readonly options: EndpointRegistryOptions) {}
@@ -123,6 +130,34 @@
     });
   }
 
+  /**
+   * Records that a process has said in a response that it leaves.
+   *
+   * @param origin Host that got the response, for the log.
+   * @returns False if that was known.
+   */
+  recordLeaving(incarnation: string, origin: string): boolean {
+    if (this.leaving.has(incarnation)) return false;
+    this.leaving.add(incarnation);
+    this.noticed.add(incarnation);
+    const endpoint = [...this.endpoints.values()].find(
+      known => known.incarnation === incarnation,
+    );
+    this.options.logger.event('endpointLeaving', {
+      ...(endpoint === undefined ? {incarnation} : describe(endpoint.record)),
+      origin,
+    });
+    for (const listener of this.listeners) listener();
+    return true;
+  }
+
+  /** Known processes that have said in a response that they leave. */
+  noticedLeaving(): readonly string[] {
+    return [...this.endpoints.values()]
+      .map(({incarnation}) => incarnation)
+      .filter(incarnation => this.noticed.has(incarnation));
+  }
+
   private remove(id: string): void {
     const endpoint = this.endpoints.get(id);
     if (endpoint === undefined || this.pendingRemovals.has(id)) return;
@@ -148,7 +183,6 @@
     if (endpoint === undefined) return;
     this.pendingRemovals.delete(id);
     this.endpoints.delete(id);
-    this.leaving.delete(endpoint.incarnation);
     this.options.logger.event('endpointGone', describe(endpoint.record));
   }
 }
--- a/src/relay/_lru_set.ts
+++ b/src/fleet/lru_set.ts
@@ -13,6 +13,7 @@
       this.values.delete(oldest);
   }
 
+  /** Whether a value is in the set. */
   has(value: string): boolean {
     return this.values.has(value);
   }
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -50,6 +50,7 @@
 } from './fleet_load.ts';
 export {chooseEndpoint, type ChooseEndpointOptions} from './choose_endpoint.ts';
 export {chooseGranter, type GranterInput} from './choose_granter.ts';
+export {LruSet} from './lru_set.ts';
 export {
   FINAL_HOPS,
   type Forwarding,
--- a/src/peers/peer_message.ts
+++ b/src/peers/peer_message.ts
@@ -237,6 +237,13 @@
     /** Time since its last order; negative while an order may still arrive. */
     sinceOrderMilliseconds: milliseconds,
   }),
+  /** Reports that an endpoint has said in a response that it leaves. */
+  z.object({
+    kind: z.literal('endpoint_leaving'),
+    hops,
+    /** Process of the endpoint. */
+    incarnation: z.string(),
+  }),
   /** Reports how many requests a second an endpoint takes from all hosts. */
   z.object({
     kind: z.literal('endpoint_limit'),
--- a/src/platform/platform_wire_format.ts
+++ b/src/platform/platform_wire_format.ts
@@ -34,6 +34,7 @@
   priority: 'Request-Priority',
   /** Requests a second from all hosts together. */
   requestLimit: 'Server-Limit',
+  leaving: 'Server-Leaving',
 } as const;
 
 /** Rewritten for each message (Content-Length) or handled by this host (Expect). */
@@ -61,6 +62,10 @@
 ]);
 
 const NOT_RUN_MISDIRECTED = 421;
+const STATUS_UNAVAILABLE = 503;
+
+/** Longest time for which an endpoint can ask for no requests. */
+const MAXIMUM_CLOSED_MILLISECONDS = 600_000;
 
 /** Header names and formats that the platform's clients and endpoints use. */
 export const PLATFORM_WIRE_FORMAT: WireFormat = {
@@ -100,10 +105,20 @@
 }
 
 function readNotice(response: IncomingMessage): EndpointNotice {
+  const number = (name: string) => parseDecimal(responseHeader(response, name));
+  // `Retry-After` is in seconds, and also on responses to callers a request to the
+  // caller; only a rejection with 503 speaks of the endpoint itself.
+  const seconds =
+    response.statusCode === STATUS_UNAVAILABLE
+      ? number(HEADERS.retryAfter)
+      : undefined;
   return {
-    requestsPerSecond: parseDecimal(
-      responseHeader(response, HEADERS.requestLimit),
-    ),
+    requestsPerSecond: number(HEADERS.requestLimit),
+    isLeaving: responseHeader(response, HEADERS.leaving)?.trim() === '1',
+    closedMilliseconds:
+      seconds === undefined
+        ? undefined
+        : Math.min(seconds * 1000, MAXIMUM_CLOSED_MILLISECONDS),
   };
 }
 
--- a/src/relay/_prompt_part_table.ts
+++ b/src/relay/_prompt_part_table.ts
@@ -1,4 +1,4 @@
-import {LruSet} from './_lru_set.ts';
+import {LruSet} from '../fleet/mod.ts';
 
 /** Whether requests with a part may run. */
 export type PromptPartStatus = 'clear' | 'suspect' | 'blocked';
--- a/src/relay/wire_format.ts
+++ b/src/relay/wire_format.ts
@@ -27,6 +27,10 @@
 export interface EndpointNotice {
   /** Requests a second that it takes from all hosts; undefined without a limit. */
   readonly requestsPerSecond: number | undefined;
+  /** Whether it is about to stop. */
+  readonly isLeaving: boolean;
+  /** Time for which it wants no requests of this host; undefined if it says none. */
+  readonly closedMilliseconds: number | undefined;
 }
 
 /** Header names and formats of requests and responses on a platform. */
