Take no rejection for an answer that may belong to an earlier request

What callers saw (a report of another operator): a faulty engine wrote an earlier rejection once more on a kept connection, and callers were told 'not run, try again' for requests that had run (REFUSED), or these ran at a second engine (TWICE).

Cause, here: a rejection without a request id was believed on any connection; and a request that goes to the same engine again has the same id, so that the repeated rejection of its first dispatch, on the connection that is used again, looked like the answer to the second one.

Why this works: a rejection without an id counts only as the first response on its connection; on a used one the outcome is unknown, 502, and not sent again unless it may run twice. A further dispatch to the same process goes over a connection of its own. 429, 421 and 503 with the id of another request were discarded before.

--- a/src/exchange/send_to_endpoint.ts
+++ b/src/exchange/send_to_endpoint.ts
@@ -17,6 +17,8 @@
   headers: readonly string[];
   body: Buffer;
   agent: Agent;
+  /** Whether the request must not follow others on its connection. @default false */
+  usesNewConnection?: boolean;
   /** Time-out for establishing the connection. */
   connectTimeoutMilliseconds: number;
   /** Time-out for the head of the response. */
@@ -30,6 +32,8 @@
   readonly kind: 'answer';
   readonly status: number;
   readonly message: IncomingMessage;
+  /** Whether no other request was sent on its connection before. */
+  readonly isFirstOnConnection: boolean;
   /** Whether the body has a Content-Length or is chunked, so that its end is known. */
   readonly isFramed: boolean;
   /**
@@ -80,7 +84,7 @@
         port: Number(port),
         method: options.method,
         path: options.path,
-        agent: options.agent,
+        agent: options.usesNewConnection === true ? false : options.agent,
         headers: options.headers,
         setHost: false,
       });
@@ -151,6 +155,7 @@
         kind: 'answer',
         status: message.statusCode ?? 0,
         message,
+        isFirstOnConnection: !clientRequest.reusedSocket,
         isFramed:
           message.headers['content-length'] !== undefined ||
           message.headers['transfer-encoding'] !== undefined,
--- a/src/platform/platform_wire_format.ts
+++ b/src/platform/platform_wire_format.ts
@@ -71,12 +71,11 @@
 export const PLATFORM_WIRE_FORMAT: WireFormat = {
   readMetadata,
   requestHeaders,
-  // Endpoints may omit the request id in such a response, but never send the id
-  // of another request.
-  isNotRun: (response, requestId) =>
+  isNotRun: (response, requestId, isFirstOnConnection) =>
     (response.headers[HEADERS.notRun.toLowerCase()] !== undefined ||
       response.statusCode === NOT_RUN_MISDIRECTED) &&
-    [undefined, requestId].includes(requestIdOf(response)),
+    (requestIdOf(response) === requestId ||
+      (requestIdOf(response) === undefined && isFirstOnConnection)),
   // A request without an id gets a response without one.
   matchesRequest: (response, requestId) =>
     requestId === '' || requestIdOf(response) === requestId,
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -38,6 +38,8 @@
 /** Sends a request to endpoints until one responds or no retry is allowed. */
 export class AttemptLoop {
   private readonly excluded = new Set<string>();
+  /** Incarnations of endpoints that have got the request. */
+  private readonly sentTo = new Set<string>();
   private readonly splitter = new EventSplitter();
   private readonly abortController = new AbortController();
   /** Whether the current attempt has delivered an event or a whole response. */
@@ -174,6 +176,7 @@
     endpoint.begin(target);
     try {
       const outcome = await this.sendAndHandleResponse(endpoint, run);
+      this.sentTo.add(endpoint.incarnation);
       const isDisconnected =
         outcome.kind === 'broken' && outcome.isDisconnected === true;
       if (isDisconnected && !this.hasBegun && !this.isAborted) {
@@ -245,6 +248,8 @@
       }),
       body,
       agent: endpoint.agent,
+      // A repeated rejection of an earlier dispatch has the same request id.
+      usesNewConnection: this.sentTo.has(endpoint.incarnation),
       connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
       responseTimeoutMilliseconds: responseTimeout(
         request.route,
@@ -266,7 +271,9 @@
     const {sentAt} = this;
     log.step = REQUEST_STEPS.relay;
     const notice = wireFormat.readNotice(message);
-    if (wireFormat.isNotRun(message, request.metadata.requestId)) {
+    const {requestId} = request.metadata;
+    const {isFirstOnConnection} = endpointResponse;
+    if (wireFormat.isNotRun(message, requestId, isFirstOnConnection)) {
       endpoints.noteResponse(endpoint, {notice, sentAt, isSuccess: false});
       discardResponse(endpointResponse);
       endpoint.condition.recordAnswer(false);
@@ -278,11 +285,7 @@
       const reason = `endpoint refused with ${status}`;
       return {kind: 'not_run', reason, mayRetrySameEndpoint};
     }
-    const mismatch = findMismatch(
-      wireFormat,
-      message,
-      request.metadata.requestId,
-    );
+    const mismatch = findMismatch(wireFormat, message, requestId);
     if (mismatch !== undefined) {
       endpointResponse.abort();
       log.answerDiscarded(mismatch, status);
--- a/src/relay/wire_format.ts
+++ b/src/relay/wire_format.ts
@@ -46,8 +46,16 @@
     bodyBytes: number,
     metadata: ForwardingMetadata,
   ): string[];
-  /** Whether a response states that the endpoint did not execute this request. */
-  isNotRun(response: IncomingMessage, requestId: string): boolean;
+  /**
+   * Whether a response states that the endpoint did not execute this request. One
+   * without the id of a request can be a repeated response to an earlier request,
+   * unless it is the first one on its connection.
+   */
+  isNotRun(
+    response: IncomingMessage,
+    requestId: string,
+    isFirstOnConnection: boolean,
+  ): boolean;
   /** Whether a response belongs to the request with this id. */
   matchesRequest(response: IncomingMessage, requestId: string): boolean;
   /** Whether a response bears the endpoint's signature and has no content encoding. */
--- a/src/testing/platform_endpoint_stand_in.ts
+++ b/src/testing/platform_endpoint_stand_in.ts
@@ -4,7 +4,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import type {PlatformStoreStandIn} from './platform_store_stand_in.ts';
 import {readRequestBody} from './_read_request_body.ts';
 
@@ -25,6 +25,14 @@
   | 'unsigned'
   /** Sends a second answer after the first. */
   | 'extra_answer'
+  /** Rejects the first request, and answers later ones on its connection so as well. */
+  | 'repeats_rejection'
+  /** The same without the id of the request. */
+  | 'repeats_unnamed_rejection'
+  /** Sends the first event of a stream and closes the connection. */
+  | 'cuts_stream'
+  /** The same in a response without a length. */
+  | 'cuts_unframed_stream'
   /** Answers only when told to. */
   | 'hangs'
   /** Sends the first event of a stream and no end. */
@@ -78,6 +86,9 @@
     holder: string;
     fencing_token: number;
   }[] = [];
+  /** Connections on which a request was rejected, to be rejected once more. */
+  private readonly rejectedOn = new WeakSet<Socket>();
+  private hasRejected = false;
   private readonly held: Map<string, Set<string>>;
   private readonly born = Date.now();
   private readonly unanswered = new Set<ServerResponse>();
@@ -201,6 +212,10 @@
   ): void {
     const trouble = this.nextTrouble();
     const {headers} = request;
+    const rejection = {
+      'Not-Executed': '1',
+      'Request-Id': headers['request-id'] ?? '',
+    };
     this.arrivals.push(performance.now());
     for (const [name, value] of Object.entries(this.notices)) {
       response.setHeader(name, value);
@@ -215,22 +230,35 @@
         (adapter !== undefined && !this.held.get(model)?.has(adapter)));
     const expected = headers['expect-instance'];
     if (isMissing || (expected !== undefined && expected !== this.options.id)) {
-      response.writeHead(421, {'Not-Executed': '1'}).end();
+      response.writeHead(421, rejection).end();
       return;
     }
     if (trouble === 'sheds') {
       setTimeout(
-        () => response.writeHead(503, {'Not-Executed': '1'}).end(),
+        () => response.writeHead(503, rejection).end(),
         this.shedMilliseconds,
       );
       return;
     }
+    const isUnnamed = trouble === 'repeats_unnamed_rejection';
+    const repeats = isUnnamed || trouble === 'repeats_rejection';
+    const head = isUnnamed ? {'Not-Executed': '1'} : rejection;
+    if (repeats && !this.hasRejected) {
+      this.hasRejected = true;
+      this.rejectedOn.add(request.socket);
+      response.writeHead(503, head).end();
+      return;
+    }
     this.ran.push({
       method: request.method ?? '',
       path: request.url ?? '',
       headers,
       body: body.toString(),
     });
+    if (repeats && this.rejectedOn.has(request.socket)) {
+      response.writeHead(503, head).end();
+      return;
+    }
     this.respond(request, response, trouble, target !== '');
   }
 
@@ -275,6 +303,18 @@
         response.write('half of');
         setTimeout(() => request.socket.destroy(), 10);
         return;
+      case 'cuts_stream':
+        response.writeHead(200, own).write('id: 1\ndata: event 1\n\n');
+        setTimeout(() => request.socket.destroy(), 10);
+        return;
+      case 'cuts_unframed_stream':
+        request.socket.write(
+          `HTTP/1.1 200 OK\r\nRequest-Id: ${String(own['Request-Id'])}\r\n` +
+            'Server-Signature: s\r\nConnection: close\r\n\r\n' +
+            'id: 1\ndata: event 1\n\n',
+        );
+        setTimeout(() => request.socket.resetAndDestroy(), 10);
+        return;
       case 'unframed_reset':
       case 'unframed_end':
         request.socket.write(
