Reset the connection of a broken response that has no length

What callers saw (a report of another operator): a stream had begun and broke off, the next engine answered with an error, and the stream ended as if it were complete.

Cause, here: the end of a response without a length is the end of its connection. When the last attempt failed, the connection was closed in the usual way, so the part that had arrived looked like the whole. The close of a stopping host did the same to such streams at the end of the grace period.

Why this works: such a connection is reset, which callers do not take for the end of a body. Responses with a length or in chunks are closed as before, so that bytes under way still arrive.

--- a/src/http/close_gracefully.ts
+++ b/src/http/close_gracefully.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {isUnframed} from '../exchange/mod.ts';
 import {Server as NetServer, type Socket} from 'node:net';
 import {type Clock, sleep} from '../time/mod.ts';
 
@@ -80,6 +81,8 @@
   /** Bytes read when the last message ended. */
   bytesRead: number;
   quietMilliseconds: number;
+  /** Whether a response has begun whose end is that of the connection. */
+  hasUnframedBody: () => boolean;
 }
 
 class TrackedServer {
@@ -120,9 +123,15 @@
     }
   }
 
-  /** Destroys all connections. */
+  /**
+   * Destroys all connections. Those with a body without a length are reset, since it
+   * would look complete at the end of its connection.
+   */
   destroy(): void {
-    for (const socket of this.connections.keys()) socket.destroy();
+    for (const [socket, {hasUnframedBody}] of this.connections) {
+      if (hasUnframedBody()) socket.resetAndDestroy();
+      else socket.destroy();
+    }
   }
 
   private addConnection(socket: Socket): void {
@@ -130,6 +139,7 @@
       openMessages: 0,
       bytesRead: 0,
       quietMilliseconds: 0,
+      hasUnframedBody: () => false,
     });
     socket.once('close', () => this.connections.delete(socket));
   }
@@ -140,6 +150,7 @@
     const connection = this.connections.get(socket);
     if (connection === undefined) return;
     connection.openMessages += 2;
+    connection.hasUnframedBody = () => isUnframed(response);
     const endMessage = () => {
       connection.openMessages--;
       connection.bytesRead = socket.bytesRead;
--- /dev/null
+++ b/src/relay/_break_off.ts
@@ -0,0 +1,11 @@
+import type {ServerResponse} from 'node:http';
+import {isUnframed} from '../exchange/mod.ts';
+
+/**
+ * Ends a response so that it does not look complete. The body of one without a length
+ * ends where its connection is closed, so the connection is reset.
+ */
+export function breakOff(response: ServerResponse): void {
+  if (isUnframed(response)) response.socket?.resetAndDestroy();
+  response.destroy();
+}
--- a/src/relay/request_relay.ts
+++ b/src/relay/request_relay.ts
@@ -11,6 +11,7 @@
   RUN_STATES,
 } from '../errors/mod.ts';
 import {AttemptLoop} from './_attempt_loop.ts';
+import {breakOff} from './_break_off.ts';
 import {connectionHeader} from './_connection_header.ts';
 import {drainingError} from './draining_error.ts';
 import {readBody} from './_read_body.ts';
@@ -85,7 +86,7 @@
         requestId: metadata.requestId,
         reason: error instanceof Error ? error.stack : String(error),
       });
-      response.destroy();
+      breakOff(response);
     } finally {
       if (callerAbort.signal.aborted) log.callerLeft();
       isHandled = true;
@@ -232,9 +233,9 @@
     );
     log.failed(error, head.status);
     if (response.headersSent) {
-      // The head has been sent, so only closing the connection can signal the
+      // The head has been sent, so only the end of the connection can signal the
       // failure.
-      response.destroy();
+      breakOff(response);
       return;
     }
     const isDraining = this.options.isDraining();
--- a/src/testing/platform_caller.ts
+++ b/src/testing/platform_caller.ts
@@ -33,7 +33,12 @@
         ...sent.headers,
       },
     });
-    request.on('error', reject);
+    let hasFailed = false;
+    let fail: (error: Error) => void = reject;
+    request.on('error', error => {
+      hasFailed = true;
+      fail(error);
+    });
     request.on('response', response => {
       let body = '';
       const finish = (isBroken: boolean) =>
@@ -44,7 +49,9 @@
           isBroken,
         });
       response.on('data', (chunk: Buffer) => (body += chunk.toString()));
-      response.on('end', () => finish(false));
+      fail = () => finish(true);
+      // Node.js reports the end of a body without a length before a reset.
+      response.on('end', () => setImmediate(() => finish(hasFailed)));
       response.on('error', () => finish(true));
     });
     request.end(sent.body);
