Save unused permits for a second, and let requests wait a second for theirs

Cause: permits were spaced evenly and expired at once, but requests do not arrive evenly; a chat waited 250 ms at most for the next one, and its caller was told to return about then without a turn of its own.

Why this works: a granter saves the permits of one second, two at least, so that a burst passes after a pause; a new granter has none saved, and shares without a granter save none and start at a random moment after each pause. A request waits for a turn within a second, or within its objective where that is longer.

Measured: permit_broker_test.ts with two more cases (callers that pause): at most 1.5 times the limit + 5 in any 4 s.

--- a/src/engines/_limited_endpoints.ts
+++ b/src/engines/_limited_endpoints.ts
@@ -21,6 +21,12 @@
   readonly waitsUntil: number;
 }
 
+/**
+ * Time that a request waits for its turn in place of a refusal: its caller would have to
+ * return about then, without a turn of its own.
+ */
+const SHORT_WAIT_MILLISECONDS = 1000;
+
 /** Origin of what this host has learned from a response itself, for logs. */
 const OWN_RESPONSE = 'response';
 
@@ -67,7 +73,7 @@
 
   /**
    * Waits until a request may be sent to an endpoint, at most for as long as it can
-   * still meet its latency objective.
+   * still meet its latency objective or for a short time.
    *
    * @returns Undefined if it may be sent now, else the monotonic time at which its
    *   caller may return.
@@ -82,7 +88,7 @@
     if (!this.has(endpoint)) return undefined;
     const {clock, permits, registry} = this.options;
     const horizon = Math.min(
-      request.route.objectiveMilliseconds,
+      Math.max(SHORT_WAIT_MILLISECONDS, request.route.objectiveMilliseconds),
       waitsUntil - clock.monotonicMilliseconds(),
     );
     const permit = await permits.acquire(endpoint.incarnation, horizon);
--- a/src/permits/permit_broker_test.ts
+++ b/src/permits/permit_broker_test.ts
@@ -130,6 +130,8 @@
   demand: number;
   /** Hosts that callers use; the others have no demand. @default all */
   used?: number;
+  /** Whether callers pause in every other 3 s, so that permits are saved. */
+  pauses?: boolean;
   /** Happens in the middle of the run. */
   fault?: (fleet: ReturnType<typeof simulate>) => void;
   /** Share of the limit that must be used. @default 0.9 */
@@ -155,6 +157,27 @@
     ratePerSecond: 2.2,
     demand: 400,
   },
+  {
+    name: '84 hosts whose callers pause',
+    active: 16,
+    standby: 68,
+    ratePerSecond: 4,
+    demand: 100,
+    pauses: true,
+    share: 0.5,
+  },
+  {
+    name: '84 hosts whose callers pause and whose granters freeze',
+    active: 16,
+    standby: 68,
+    ratePerSecond: 1,
+    demand: 100,
+    pauses: true,
+    fault: ({faults}) => {
+      for (let host = 0; host < 8; host++) faults.frozen.add(host);
+    },
+    share: 0.2,
+  },
   {
     name: '84 hosts whose granters freeze',
     active: 16,
@@ -213,7 +236,9 @@
       if (sent === (entry.demand * seconds) / 2) entry.fault?.(fleet);
       // Steps over the hosts so that neighbours do not follow each other.
       const host = (sent * 7919) % (entry.used ?? count);
-      void request(host, sent % 3 === 0 ? 1000 : 0);
+      const isPause = Math.floor(sent / entry.demand / 3) % 2 === 1;
+      if (entry.pauses !== true || !isPause)
+        void request(host, sent % 3 === 0 ? 1000 : 0);
       await clock.advanceAsync(interval);
     }
     const allowed =
--- a/src/permits/permit_schedule.ts
+++ b/src/permits/permit_schedule.ts
@@ -5,8 +5,9 @@
 export interface PermitScheduleOptions {
   clock: Clock;
   /**
-   * Returns the part of the first interval after which an endpoint's first permit
-   * is granted, 0 to 1. @default 0
+   * Returns the part of an interval after which the first permit is granted, and the
+   * first one after a pause, 0 to 1. With it, no permits are saved: many hosts that
+   * each have a small share must not use it at the same time. @default none
    */
   firstDelay?: () => number;
 }
@@ -24,6 +25,12 @@
 /** Lowest rate that is scheduled; bounds the length of an interval. */
 const MINIMUM_RATE_PER_SECOND = 0.001;
 
+/** Time for which unused permits are saved. */
+const SAVED_MILLISECONDS = 1000;
+
+/** Number of permits that are saved at least, also at low rates. */
+const MINIMUM_SAVED = 2;
+
 /** Maximum time after which a refused caller is told to return. */
 const MAXIMUM_RETURN_MILLISECONDS = 10_000;
 
@@ -39,9 +46,10 @@
 }
 
 /**
- * Spaces the requests to each endpoint evenly at its rate. Permits are not saved up,
- * so that no interval gets more than its share. Refused callers are told to return
- * one after the other at the same rate, instead of all at once.
+ * Spaces the requests to each endpoint at its rate. Unused permits are saved up for one
+ * second, since requests do not arrive evenly; a new schedule has none saved. Refused
+ * callers are told to return one after the other at the same rate, instead of all at
+ * once.
  */
 export class PermitSchedule {
   private readonly slots = new Map<string, Slots>();
@@ -53,9 +61,10 @@
     const now = this.options.clock.monotonicMilliseconds();
     const slots = this.slotsOf(terms, now);
     const interval = 1000 / slots.ratePerSecond;
+    this.endPause(slots, now, interval);
     const at = Math.max(now, slots.nextAt);
     if (at - now <= terms.horizonMilliseconds) {
-      slots.nextAt = at + interval;
+      slots.nextAt += interval;
       return {kind: 'granted', at};
     }
     const returnAt = Math.max(at, slots.nextReturnAt);
@@ -66,6 +75,19 @@
     return {kind: 'denied', returnAt};
   }
 
+  /** Drops permits that were not used, beyond those that are saved. */
+  private endPause(slots: Slots, now: number, interval: number): void {
+    const {firstDelay} = this.options;
+    if (firstDelay === undefined) {
+      const saved = Math.max(SAVED_MILLISECONDS, MINIMUM_SAVED * interval);
+      slots.nextAt = Math.max(slots.nextAt, now - saved + interval);
+    } else if (slots.nextAt < now - interval) {
+      slots.nextAt = now + firstDelay() * interval;
+    } else {
+      slots.nextAt = Math.max(slots.nextAt, now);
+    }
+  }
+
   private slotsOf(terms: PermitTerms, now: number): Slots {
     const {incarnation} = terms;
     const ratePerSecond = Math.max(
@@ -76,8 +98,8 @@
     if (known !== undefined) {
       // Permits that are granted ahead take less or more time at the new rate.
       const ratio = known.ratePerSecond / ratePerSecond;
-      known.nextAt = now + Math.max(0, known.nextAt - now) * ratio;
-      known.nextReturnAt = now + Math.max(0, known.nextReturnAt - now) * ratio;
+      known.nextAt += Math.max(0, known.nextAt - now) * (ratio - 1);
+      known.nextReturnAt += Math.max(0, known.nextReturnAt - now) * (ratio - 1);
       known.ratePerSecond = ratePerSecond;
       return known;
     }
