Load models of limited engines where their requests can be taken

Cause: a limited engine counted as a replica if its even share of the model's requests fitted, although callers were refused; the copy on the disk of an engine that has the model already kept others from loading it from the store; and rare models were loaded on engines without a limit alone, as if each of their few requests were too much.

Why this works: requests wait or are refused only if no engine of the model has room, so limited ones do not count then; a copy counts only where it can be loaded; and an engine with a limit is avoided only for models whose requests it cannot take.

--- a/src/engines/_placement_plan.ts
+++ b/src/engines/_placement_plan.ts
@@ -1,4 +1,5 @@
 import type {ModelConfiguration} from '../deployment/mod.ts';
+import {takesRequestsOf} from './_takes_requests_of.ts';
 import {loadBenefit} from './load_benefit.ts';
 import {expectedLoadMilliseconds, nearestTier} from './load_tier.ts';
 import type {PlacementInput} from './plan_placement.ts';
@@ -68,8 +69,8 @@
 const MINIMUM_EVICTION_COST_MILLISECONDS = 10;
 
 /**
- * Cost of loading on an engine that asks for fewer requests, in milliseconds; longer
- * than any load.
+ * Cost of loading a model on an engine that cannot take its requests, in milliseconds;
+ * longer than any load.
  */
 const LIMITED_ENGINE_COST_MILLISECONDS = 30_000;
 
@@ -103,8 +104,8 @@
     );
     this.preloads = input.preloadsAllowed;
     for (const engine of input.engines) {
-      if (this.hasRoom(engine)) {
-        for (const model of engine.models) increase(this.replicas, model, 1);
+      for (const model of engine.models) {
+        if (this.hasRoom(engine, model)) increase(this.replicas, model, 1);
       }
       for (const [model, requests] of engine.inFlight) {
         increase(this.inFlight, model, requests);
@@ -203,7 +204,7 @@
         expectedMilliseconds +
         evictions.cost +
         copies +
-        (engine.requestsPerSecond === undefined
+        (takesRequestsOf(this.input, engine, model.name)
           ? 0
           : LIMITED_ENGINE_COST_MILLISECONDS),
       load: {
@@ -302,20 +303,12 @@
   }
 
   /**
-   * Whether an engine takes the requests that its models get from all engines that
-   * have them. If not, others must load them as well.
+   * Whether an engine has room for the requests for one of its models. Callers wait or
+   * are refused only if none of its engines has, so one with a limit has not.
    */
-  private hasRoom({models, requestsPerSecond}: EngineSnapshot): boolean {
-    if (requestsPerSecond === undefined) return true;
-    let expected = 0;
-    for (const model of models) {
-      const demand = this.input.demand.get(model);
-      const holders = this.input.engines.filter(engine =>
-        engine.models.has(model),
-      ).length;
-      expected += (demand?.ratePerSecond ?? 0) / Math.max(1, holders);
-    }
-    return expected <= requestsPerSecond;
+  private hasRoom({requestsPerSecond}: EngineSnapshot, model: string): boolean {
+    const waiting = this.input.demand.get(model)?.waiting ?? 0;
+    return requestsPerSecond === undefined || waiting === 0;
   }
 
   /** Standby replicas are added only while no request waits. */
@@ -338,12 +331,14 @@
     return range;
   }
 
-  /**
-   * Whether to wait until an engine that has a local copy becomes available.
-   */
+  /** Whether to wait until another engine that has a local copy becomes available. */
   private shouldWaitForCopy({name}: ModelConfiguration): boolean {
     const waited = this.input.demand.get(name)?.waitedMilliseconds ?? 0;
-    return waited < IGNORE_COPY_AFTER_MILLISECONDS && this.hasCopy(name);
+    const others = this.input.engines.filter(({models}) => !models.has(name));
+    return (
+      waited < IGNORE_COPY_AFTER_MILLISECONDS &&
+      others.some(engine => nearestTier(engine, name) !== 'remote')
+    );
   }
 
   private hasCopy(model: string): boolean {
--- a/src/engines/plan_placement_test.ts
+++ b/src/engines/plan_placement_test.ts
@@ -128,22 +128,36 @@
   },
   // Callers of a model were refused as long as its engine asked for fewer requests.
   {
-    name: 'a model whose engine takes too few requests is loaded on another one',
+    name: 'a model whose engines take too few requests is loaded on another one',
     engines: [
       engine('e1', ['rare-1'], {requestsPerSecond: 1}),
+      engine('e4', ['rare-1'], {requestsPerSecond: 4}),
       engine('e2', ['busy'], {onDisk: new Set(['rare-1'])}),
       engine('e3', [], {requestsPerSecond: 1, inMemory: new Set(['rare-1'])}),
     ],
     demand: {'rare-1': {...waiting(), ratePerSecond: 4}},
     expected: [['e2', 'rare-1', []]],
   },
+  // The copy of the engine that has loaded the model already is of no use.
   {
-    name: 'a model whose engine takes its requests is not loaded once more',
+    name: 'a model whose engine takes too few requests is loaded from the store',
+    engines: [
+      engine('e1', ['rare-1'], {
+        requestsPerSecond: 1,
+        onDisk: new Set(['rare-1']),
+      }),
+      engine('e2', ['busy']),
+    ],
+    demand: {'rare-1': {...waiting(), ratePerSecond: 4}},
+    expected: [['e2', 'rare-1', []]],
+  },
+  {
+    name: 'a model that no request waits for is not loaded once more',
     engines: [
       engine('e1', ['rare-1'], {requestsPerSecond: 5}),
       engine('e2', ['busy'], {onDisk: new Set(['rare-1'])}),
     ],
-    demand: {'rare-1': {...waiting(), ratePerSecond: 2}},
+    demand: {'rare-1': steady(2)},
     expected: [],
   },
   {
