Never tell a caller to return before now

A caller whose only endpoint began to leave while its request waited for a permit could get a negative Retry-After. Found by reading the diff; it is now 1 ms at least, as for models. The tests of engines and notices pass.

--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -138,7 +138,9 @@
         return refusal(
           REQUEST_ERROR_CODES.overloaded,
           `No endpoint of "${service.name}" can be used`,
-          Number.isFinite(roomAt) ? roomAt - now : RETRY_AFTER_MILLISECONDS,
+          Number.isFinite(roomAt)
+            ? Math.max(1, roomAt - now)
+            : RETRY_AFTER_MILLISECONDS,
         );
       }
       const refused =
