Show delays of the event loop, bytes queued for peers and late attempts

Callers saw late answers from hosts with slow links, and engines ran requests for callers that had left. Nothing told a full link from a busy processor or from a close that did not reach the endpoint.

--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -9,7 +9,11 @@
 } from '../fleet/mod.ts';
 import {isConnectionRefused} from '../exchange/mod.ts';
 import {FleetRateLimiter} from '../limits/mod.ts';
-import {type EventLogger, Metrics} from '../observability/mod.ts';
+import {
+  EventLoopMonitor,
+  type EventLogger,
+  Metrics,
+} from '../observability/mod.ts';
 import {type PeerIdentity, PeerNetwork} from '../peers/mod.ts';
 import {
   CrashEvidence,
@@ -60,6 +64,9 @@
   const self = createIdentity(context.settings);
   container.bind(Metrics).toConstantValue(metrics);
   container.bind(EntryState).toConstantValue(state);
+  container
+    .bind(EventLoopMonitor)
+    .toConstantValue(new EventLoopMonitor({...context, metrics}));
   bindFleet(container, context, self);
   bindPermits(container, context, self);
   bindRequests(container, context);
--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -6,6 +6,7 @@
   FleetTopology,
   HostRegistry,
 } from '../fleet/mod.ts';
+import {EventLoopMonitor} from '../observability/mod.ts';
 import {PeerNetwork} from '../peers/mod.ts';
 import {RequestRelay} from '../relay/mod.ts';
 import {sleep} from '../time/mod.ts';
@@ -119,6 +120,7 @@
     this.hasStopped = true;
     this.container.get(StoreFollowers).stop();
     this.container.get(FleetStateExchange).stop();
+    this.container.get(EventLoopMonitor).stop();
     logger.event('hostStopped', {elapsed: Math.round(elapsed())});
   }
 
@@ -137,6 +139,7 @@
     this.container.get(StoreFollowers).start();
     void this.container.get(HostRegistration).register();
     void this.container.get(FleetStateExchange).run();
+    void this.container.get(EventLoopMonitor).run();
     logger.event('hostStarted', {
       incarnation: peers.self.incarnation,
       callers: settings.callers,
@@ -160,6 +163,9 @@
     let loggedAt = clock.monotonicMilliseconds();
     while (!this.hasStopped) {
       this.updateTopology();
+      this.container
+        .get(PeerTraffic)
+        .observeQueue(this.container.get(PeerNetwork).queuedBytes);
       const now = clock.monotonicMilliseconds();
       if (now - loggedAt >= TRAFFIC_LOG_MILLISECONDS) {
         loggedAt = now;
@@ -176,7 +182,7 @@
       upstream: topology.upstream,
       peers: this.container.get(PeerNetwork).connectedPeers().length,
       downHosts: topology.downHosts,
-      sentBytes: this.container.get(PeerTraffic).takeSent(),
+      ...this.container.get(PeerTraffic).take(),
     });
   }
 }
--- a/src/entry/peer_traffic.ts
+++ b/src/entry/peer_traffic.ts
@@ -3,9 +3,21 @@
 /** Counter of the bytes sent to other hosts, by kind of message. */
 const SENT_BYTES_METRIC = 'limpetdale_peer_sent_bytes_total';
 
+/** Gauge of the bytes that are queued for other hosts. */
+const QUEUED_BYTES_METRIC = 'limpetdale_peer_queued_bytes';
+
+/** Traffic to other hosts over a period. */
+export interface PeerTrafficSummary {
+  /** Bytes by kind of message. */
+  readonly sentBytes: Readonly<Record<string, number>>;
+  /** Largest number of queued bytes that was observed. */
+  readonly largestQueue: number;
+}
+
 /** Counts the bytes sent to other hosts. */
 export class PeerTraffic {
   private sent = new Map<string, number>();
+  private largestQueue = 0;
 
   constructor(private readonly metrics: Metrics) {}
 
@@ -15,10 +27,17 @@
     this.sent.set(kind, (this.sent.get(kind) ?? 0) + bytes);
   }
 
-  /** Returns the bytes by kind since the last call. */
-  takeSent(): Readonly<Record<string, number>> {
-    const {sent} = this;
+  /** Records the bytes that are queued for all peers. */
+  observeQueue(bytes: number): void {
+    this.metrics.setGauge(QUEUED_BYTES_METRIC, bytes);
+    this.largestQueue = Math.max(this.largestQueue, bytes);
+  }
+
+  /** Returns the traffic since the last call. */
+  take(): PeerTrafficSummary {
+    const {sent, largestQueue} = this;
     this.sent = new Map();
-    return Object.fromEntries(sent);
+    this.largestQueue = 0;
+    return {sentBytes: Object.fromEntries(sent), largestQueue};
   }
 }
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -40,6 +40,17 @@
     level: 'info',
     message: 'Host refuses requests that no endpoint has received',
   },
+  eventLoopDelayed: {
+    number: 110,
+    level: 'warn',
+    message:
+      'Event loop is behind; requests and timers wait before they are handled',
+  },
+  eventLoopRecovered: {
+    number: 111,
+    level: 'info',
+    message: 'Event loop keeps up again',
+  },
   unexpectedFailure: {
     number: 190,
     level: 'error',
--- a/src/observability/mod.ts
+++ b/src/observability/mod.ts
@@ -8,6 +8,10 @@
  *
  * @module
  */
+export {
+  EventLoopMonitor,
+  type EventLoopMonitorOptions,
+} from './event_loop_monitor.ts';
 export {
   createEventLogger,
   type EventFields,
--- a/src/peers/_peer_connection.ts
+++ b/src/peers/_peer_connection.ts
@@ -64,6 +64,11 @@
     this.write(frame);
   }
 
+  /** Bytes that were handed to the connection but not sent yet. */
+  get queuedBytes(): number {
+    return this.options.socket.bufferedAmount;
+  }
+
   /** Closes the connection immediately, without a closing handshake. */
   close(): void {
     this.options.socket.terminate();
--- a/src/peers/peer_network.ts
+++ b/src/peers/peer_network.ts
@@ -129,6 +129,15 @@
     if (connections.length > 0) this.sendEncoded(connections, message);
   }
 
+  /** Bytes of messages to all peers that are not sent yet. */
+  get queuedBytes(): number {
+    let bytes = 0;
+    for (const connections of this.connectionsByHost.values()) {
+      for (const connection of connections) bytes += connection.queuedBytes;
+    }
+    return bytes;
+  }
+
   private sendEncoded(
     connections: readonly PeerConnection[],
     message: PeerMessage,
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -188,6 +188,7 @@
           reason: outcome.reason,
           run: outcome.kind,
           hasBegun: this.hasBegun,
+          remainingMilliseconds: Math.round(this.remaining()),
         });
       }
       return outcome;
--- a/src/relay/_request_log.ts
+++ b/src/relay/_request_log.ts
@@ -12,6 +12,8 @@
   readonly run: 'not_run' | 'broken';
   /** Whether the endpoint had delivered an event or a whole response. */
   readonly hasBegun: boolean;
+  /** Milliseconds that were left until the deadline; negative when it had passed. */
+  readonly remainingMilliseconds: number;
 }
 
 /** Collects the log fields of one request and writes its events and metrics. */
