--- a/src/engines/replica_map.ts
+++ b/src/engines/replica_map.ts
@@ -10,7 +10,7 @@
 
 /** Options of {@link ReplicaMap}. */
 export interface ReplicaMapOptions {
-  registry: EndpointRegistry;
+  registry: Pick<EndpointRegistry, 'usable'>;
   clock: Clock;
 }
 
--- a/src/entry/_fleet_state_exchange_options.ts
+++ b/src/entry/_fleet_state_exchange_options.ts
@@ -10,19 +10,37 @@
 
 /** Options of `FleetStateExchange`. */
 export interface FleetStateExchangeOptions {
-  peers: PeerNetwork;
+  peers: Pick<
+    PeerNetwork,
+    | 'broadcast'
+    | 'connectedPeers'
+    | 'onConnectionEvent'
+    | 'onMessage'
+    | 'send'
+    | 'sendToAll'
+  >;
   clock: Clock;
   logger: EventLogger;
-  topology: FleetTopology;
-  registry: EndpointRegistry;
+  topology: Pick<
+    FleetTopology,
+    'adoptDownHosts' | 'downHosts' | 'isActive' | 'upstream'
+  >;
+  registry: Pick<EndpointRegistry, 'all' | 'recordLeaving'>;
   load: FleetLoad;
-  rateLimiter: FleetRateLimiter;
+  rateLimiter: Pick<
+    FleetRateLimiter,
+    | 'fleetSpending'
+    | 'receive'
+    | 'receiveDigest'
+    | 'receiveFromStandby'
+    | 'spending'
+  >;
   replicas: ReplicaMap;
-  router: EndpointRouter;
-  crashTracker: CrashTracker;
-  promptParts: PromptPartQuarantine;
-  limits: EndpointLimits;
-  permits: PermitBroker;
+  router: Pick<EndpointRouter, 'arrivalCounts' | 'waiting'>;
+  crashTracker: Pick<CrashTracker, 'receive'>;
+  promptParts: Pick<PromptPartQuarantine, 'receive'>;
+  limits: Pick<EndpointLimits, 'receive'>;
+  permits: Pick<PermitBroker, 'answer' | 'receive'>;
   /** Called when a peer reports waiting requests, which may be for a pool managed here. */
   onDemandChanged: () => void;
   /** Called when the manager of a pool announced replicas or renewed its lease. */
