--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -12,7 +12,7 @@
   chooseEndpoint,
   type Endpoint,
   type EndpointRegistry,
-  type LoadReport,
+  type WaitingCount,
 } from '../fleet/mod.ts';
 import {
   drainingError,
@@ -181,7 +181,7 @@
   /**
    * Targets that requests of this host wait for, or were refused for recently.
    */
-  waiting(): LoadReport['waiting'] {
+  waiting(): readonly WaitingCount[] {
     const now = this.options.clock.monotonicMilliseconds();
     const refused = [...this.refused].flatMap(([key, {request, until}]) => {
       if (now > until) this.refused.delete(key);
@@ -199,6 +199,7 @@
           requests: 1,
           timely: 0,
           priority,
+          isHeld: false,
           waitedMilliseconds,
         },
       ];
@@ -215,6 +216,7 @@
           requests: list.length,
           timely: list.filter(({request}) => isTimely(request, now)).length,
           priority: Math.min(...list.map(({request}) => request.priority)),
+          isHeld: true,
           waitedMilliseconds: now - Math.min(...list.map(({since}) => since)),
         },
       ];
--- a/src/engines/mod.ts
+++ b/src/engines/mod.ts
@@ -54,3 +54,5 @@
   ReplicaMap,
   type ReplicaMapOptions,
 } from './replica_map.ts';
+export {ReplicaAnnouncer} from './replica_announcer.ts';
+export type {EngineTargets, ReplicaState} from './replica_state.ts';
--- a/src/engines/pool_manager.ts
+++ b/src/engines/pool_manager.ts
@@ -6,7 +6,7 @@
 import type {EventLogger, Metrics} from '../observability/mod.ts';
 import type {EndpointLimits} from '../permits/mod.ts';
 import {type Clock, sleep} from '../time/mod.ts';
-import {describeReplicas, ReplicaAnnouncer} from './_replica_announcer.ts';
+import {describeReplicas, ReplicaAnnouncer} from './replica_announcer.ts';
 import {AdapterLoader} from './_adapter_loader.ts';
 import {demandByModel} from './_demand_by_model.ts';
 import {OrderDispatcher} from './_order_dispatcher.ts';
@@ -23,11 +23,14 @@
 import type {PoolLease} from './pool_lease.ts';
 import {RemoteLoadBudget} from './remote_load_budget.ts';
 import type {ReplicaAnnouncement} from './replica_map.ts';
+import type {ReplicaState} from './replica_state.ts';
 
 /** Options of {@link PoolManager}. */
 export interface PoolManagerOptions {
   service: () => ServiceConfiguration | undefined;
   hostId: string;
+  /** Identity of this process. */
+  incarnation: string;
   lease: PoolLease;
   registry: EndpointRegistry;
   load: FleetLoad;
@@ -104,7 +107,7 @@
 
   constructor(private readonly options: PoolManagerOptions) {
     const onChange = () => this.announceChanges();
-    this.announcer = new ReplicaAnnouncer(options);
+    this.announcer = new ReplicaAnnouncer({...options, onDue: onChange});
     this.orders = new OrderDispatcher({
       ...options,
       epoch: () => this.epoch,
@@ -424,8 +427,15 @@
     }
   }
 
-  /** Complete state of the pool's engines; undefined while it isn't managed here. */
+  /** Complete announcement of the pool; undefined while it isn't managed here. */
   currentAnnouncement(): ReplicaAnnouncement | undefined {
+    const state = this.currentState();
+    return state === undefined
+      ? undefined
+      : this.announcer.completeAnnouncement(state);
+  }
+
+  private currentState(): ReplicaState | undefined {
     const service = this.options.service()?.name;
     const {epoch, engines, forecast, forecastAt} = this;
     if (service === undefined || epoch === undefined) return undefined;
@@ -441,7 +451,7 @@
   }
 
   private announceChanges(): void {
-    const announcement = this.currentAnnouncement();
-    if (announcement !== undefined) this.announcer.announce(announcement);
+    const state = this.currentState();
+    if (state !== undefined) this.announcer.announce(state);
   }
 }
--- a/src/engines/replica_map.ts
+++ b/src/engines/replica_map.ts
@@ -1,8 +1,14 @@
-import type {Endpoint, EndpointRegistry} from '../fleet/mod.ts';
+import {
+  type Endpoint,
+  type EndpointRegistry,
+  type ReportDisposition,
+  ReportSequence,
+} from '../fleet/mod.ts';
 import type {PeerMessageOf} from '../peers/mod.ts';
 import type {Clock} from '../time/mod.ts';
+import type {ReplicaState} from './replica_state.ts';
 
-/** Replicas of a pool's engines, as announced by the pool's manager. */
+/** Changes of the replicas of a pool's engines, as announced by the pool's manager. */
 export type ReplicaAnnouncement = Omit<
   PeerMessageOf<'replica_state'>,
   'kind' | 'hops'
@@ -11,6 +17,8 @@
 /** Options of {@link ReplicaMap}. */
 export interface ReplicaMapOptions {
   registry: Pick<EndpointRegistry, 'usable'>;
+  /** Identity of this process. */
+  incarnation: string;
   clock: Clock;
 }
 
@@ -19,10 +27,19 @@
   readonly targets: ReadonlySet<string>;
 }
 
-interface RemoteModels {
-  readonly models: ReadonlySet<string>;
+/** What was announced of one pool. */
+interface AnnouncedPool {
+  readonly sequence: ReportSequence;
+  /** Process that has announced it. */
+  announcer: string;
+  epoch: number;
+  announcedAt: number;
+  /** Monotonic time at which targets without a replica are expected to be ready. */
+  readonly expectedReadyAt: Map<string, number>;
+  /** Models that only the weight store has. */
+  readonly remoteOnly: Set<string>;
   /** Monotonic time at which a further one of them can be ready. */
-  readonly readyAt: number;
+  remoteReadyAt: number;
 }
 
 /**
@@ -45,11 +62,8 @@
  */
 export class ReplicaMap {
   private readonly announced = new Map<string, AnnouncedEngine>();
-  private readonly announcedAt = new Map<string, number>();
-  private readonly expectedReadyAt = new Map<string, Map<string, number>>();
-  private readonly remoteOnly = new Map<string, RemoteModels>();
+  private readonly pools = new Map<string, AnnouncedPool>();
   private readonly refusedUntil = new Map<string, number>();
-  private readonly epochs = new Map<string, number>();
   private readonly listeners = new Set<() => void>();
 
   constructor(private readonly options: ReplicaMapOptions) {}
@@ -60,80 +74,77 @@
   }
 
   /** Applies an announcement; those of previous managers are ignored. */
-  receive(announcement: ReplicaAnnouncement): void {
-    const {service, epoch, engines, expected} = announcement;
-    if (epoch < (this.epochs.get(service) ?? 0)) return;
-    this.epochs.set(service, epoch);
-    const receivedAt = this.options.clock.monotonicMilliseconds();
-    this.announcedAt.set(service, receivedAt);
-    // An announcement lists only the engines that have changed.
-    for (const {endpoint, startedAt, targets} of engines) {
-      this.announced.set(endpoint, {startedAt, targets: new Set(targets)});
-      for (const target of targets)
-        this.refusedUntil.delete(`${endpoint} ${target}`);
+  receive(announcement: ReplicaAnnouncement): ReportDisposition {
+    const {service, epoch, announcer, sequence, afterSequence} = announcement;
+    const pool = this.poolOf(service);
+    if (epoch < pool.epoch) return 'ignore';
+    // A manager that is a standby host gets its own state in a digest as well.
+    const isManager = pool.announcer === this.options.incarnation;
+    if (isManager && announcer !== pool.announcer && epoch === pool.epoch)
+      return 'ignore';
+    const source = `${announcer} ${epoch}`;
+    const disposition = pool.sequence.accept({source, sequence, afterSequence});
+    if (disposition !== 'apply') return disposition;
+    pool.epoch = epoch;
+    pool.announcer = announcer;
+    pool.announcedAt = this.now();
+    if (afterSequence === undefined) {
+      pool.expectedReadyAt.clear();
+      pool.remoteOnly.clear();
     }
-    if (announcement.remoteOnly !== undefined) {
-      const {models, readyInMilliseconds} = announcement.remoteOnly;
-      this.remoteOnly.set(service, {
-        models:
-          models === undefined
-            ? (this.remoteOnly.get(service)?.models ?? new Set())
-            : new Set(models),
-        readyAt: receivedAt + readyInMilliseconds,
-      });
-    }
-    // Each announcement lists all awaited models that can be loaded.
-    this.expectedReadyAt.set(
-      service,
-      new Map(
-        expected.map(({target, readyInMilliseconds}) => [
-          target,
-          receivedAt + readyInMilliseconds,
-        ]),
-      ),
-    );
+    this.applyEngines(announcement.engines);
+    this.applyExpectations(pool, announcement);
     for (const listener of this.listeners) listener();
+    return disposition;
   }
 
-  /** State of all pools with a recent announcement, for a host that has none. */
-  currentAnnouncements(): readonly ReplicaAnnouncement[] {
-    const now = this.options.clock.monotonicMilliseconds();
-    return [...this.epochs].flatMap(([service, epoch]) => {
-      const announcedAt = this.announcedAt.get(service) ?? -Infinity;
-      if (now - announcedAt > ANNOUNCEMENT_LIFETIME_MILLISECONDS) return [];
-      const engines = this.options.registry
-        .usable(service)
-        .flatMap(({record}) => {
-          const known = this.announced.get(record.id);
-          if (known === undefined) return [];
-          const {startedAt, targets} = known;
-          return [{endpoint: record.id, startedAt, targets: [...targets]}];
-        });
-      const expected = [...(this.expectedReadyAt.get(service) ?? [])].map(
-        ([target, readyAt]) => ({
-          target,
-          readyInMilliseconds: Math.max(0, readyAt - now),
-        }),
-      );
-      const remoteOnly = this.remoteOnly.get(service);
+  /** State of all pools with a recent announcement, for hosts that have none. */
+  currentStates(): readonly ReplicaState[] {
+    const now = this.now();
+    return [...this.pools].flatMap(([service, pool]) => {
+      if (now - pool.announcedAt > ANNOUNCEMENT_LIFETIME_MILLISECONDS)
+        return [];
       return [
         {
           service,
-          epoch,
-          engines,
-          expected,
+          epoch: pool.epoch,
+          engines: this.announcedEngines(service),
+          expected: [...pool.expectedReadyAt].map(([target, readyAt]) => ({
+            target,
+            readyInMilliseconds: Math.max(0, readyAt - now),
+          })),
           remoteOnly: {
-            models: [...(remoteOnly?.models ?? [])],
-            readyInMilliseconds: (remoteOnly?.readyAt ?? now) - now,
+            models: [...pool.remoteOnly],
+            readyInMilliseconds: pool.remoteReadyAt - now,
           },
         },
       ];
     });
   }
 
+  /** The same as complete announcements, for hosts that miss some. */
+  currentAnnouncements(): readonly ReplicaAnnouncement[] {
+    return this.currentStates().map(state => {
+      const pool = this.poolOf(state.service);
+      return {
+        ...state,
+        announcer: pool.announcer,
+        sequence: pool.sequence.sequence ?? 0,
+        engines: [...state.engines],
+        expected: [...state.expected],
+        unexpected: [],
+        remoteOnly: {
+          added: [...state.remoteOnly.models],
+          removed: [],
+          readyInMilliseconds: state.remoteOnly.readyInMilliseconds,
+        },
+      };
+    });
+  }
+
   /** Usable engines that have a target loaded. */
   holders(service: string, target: string): readonly Endpoint[] {
-    const now = this.options.clock.monotonicMilliseconds();
+    const now = this.now();
     return this.options.registry
       .usable(service)
       .filter(endpoint => this.holds(endpoint, target, now));
@@ -141,7 +152,7 @@
 
   /** Monotonic time at which a replica of a target is expected to be ready. */
   expectedAt(service: string, target: string): number | undefined {
-    return this.expectedReadyAt.get(service)?.get(target);
+    return this.pools.get(service)?.expectedReadyAt.get(target);
   }
 
   /**
@@ -149,23 +160,16 @@
    * it is asked for now; undefined for other models.
    */
   remoteReadyAt(service: string, model: string): number | undefined {
-    const now = this.options.clock.monotonicMilliseconds();
-    const announcedAt =
-      this.announcedAt.get(service) ?? Number.NEGATIVE_INFINITY;
-    if (now - announcedAt > ANNOUNCEMENT_LIFETIME_MILLISECONDS) {
-      return undefined;
-    }
-    const remoteOnly = this.remoteOnly.get(service);
-    return remoteOnly?.models.has(model) === true
-      ? remoteOnly.readyAt
-      : undefined;
+    const pool = this.pools.get(service);
+    if (pool === undefined || !this.isCurrent(pool)) return undefined;
+    return pool.remoteOnly.has(model) ? pool.remoteReadyAt : undefined;
   }
 
   /** Records that an engine refused a target it should have, or was full. */
   recordRefusal(endpoint: Endpoint, target: string): void {
     this.refusedUntil.set(
       `${endpoint.record.id} ${target}`,
-      this.options.clock.monotonicMilliseconds() + REFUSAL_BACKOFF_MILLISECONDS,
+      this.now() + REFUSAL_BACKOFF_MILLISECONDS,
     );
   }
 
@@ -174,12 +178,12 @@
     const refused = this.refusedUntil.get(`${record.id} ${target}`);
     if (refused !== undefined && now < refused) return false;
     const known = this.announced.get(record.id);
-    const announcedAt =
-      this.announcedAt.get(record.service) ?? Number.NEGATIVE_INFINITY;
+    const pool = this.pools.get(record.service);
     if (
       known !== undefined &&
       known.startedAt === record.startedAt &&
-      now - announcedAt <= ANNOUNCEMENT_LIFETIME_MILLISECONDS
+      pool !== undefined &&
+      this.isCurrent(pool)
     ) {
       return known.targets.has(target);
     }
@@ -189,4 +193,61 @@
         model.adapters.some(adapter => `${model.name}/${adapter}` === target),
     );
   }
+
+  /** Announced engines that may be used. */
+  private announcedEngines(service: string): ReplicaState['engines'] {
+    return this.options.registry.usable(service).flatMap(({record}) => {
+      const known = this.announced.get(record.id);
+      if (known === undefined) return [];
+      const {startedAt, targets} = known;
+      return [{endpoint: record.id, startedAt, targets: [...targets]}];
+    });
+  }
+
+  private applyEngines(engines: ReplicaAnnouncement['engines']): void {
+    for (const {endpoint, startedAt, targets} of engines) {
+      this.announced.set(endpoint, {startedAt, targets: new Set(targets)});
+      for (const target of targets)
+        this.refusedUntil.delete(`${endpoint} ${target}`);
+    }
+  }
+
+  private applyExpectations(
+    pool: AnnouncedPool,
+    {expected, unexpected, remoteOnly}: ReplicaAnnouncement,
+  ): void {
+    const now = this.now();
+    for (const target of unexpected) pool.expectedReadyAt.delete(target);
+    for (const {target, readyInMilliseconds} of expected)
+      pool.expectedReadyAt.set(target, now + readyInMilliseconds);
+    for (const model of remoteOnly.removed) pool.remoteOnly.delete(model);
+    for (const model of remoteOnly.added) pool.remoteOnly.add(model);
+    pool.remoteReadyAt = now + remoteOnly.readyInMilliseconds;
+  }
+
+  /** Whether the announced state is recent enough to be used. */
+  private isCurrent({announcedAt}: AnnouncedPool): boolean {
+    return this.now() - announcedAt <= ANNOUNCEMENT_LIFETIME_MILLISECONDS;
+  }
+
+  private poolOf(service: string): AnnouncedPool {
+    let pool = this.pools.get(service);
+    if (pool === undefined) {
+      pool = {
+        sequence: new ReportSequence(),
+        announcer: '',
+        epoch: 0,
+        announcedAt: Number.NEGATIVE_INFINITY,
+        expectedReadyAt: new Map(),
+        remoteOnly: new Set(),
+        remoteReadyAt: Number.NEGATIVE_INFINITY,
+      };
+      this.pools.set(service, pool);
+    }
+    return pool;
+  }
+
+  private now(): number {
+    return this.options.clock.monotonicMilliseconds();
+  }
 }
--- a/src/entry/_fleet_state_exchange_options.ts
+++ b/src/entry/_fleet_state_exchange_options.ts
@@ -16,7 +16,9 @@
     | 'connectedPeers'
     | 'onConnectionEvent'
     | 'onMessage'
+    | 'self'
     | 'send'
+    | 'sendState'
     | 'sendToAll'
   >;
   clock: Clock;
--- a/src/entry/control_traffic_test.ts
+++ b/src/entry/control_traffic_test.ts
@@ -1,5 +1,5 @@
 import {afterEach, describe, expect, test} from 'vitest';
-import {ReplicaAnnouncer} from '../engines/_replica_announcer.ts';
+import {ReplicaAnnouncer} from '../engines/mod.ts';
 import {ExchangeFleet, type ExchangeHost} from '../testing/exchange_fleet.ts';
 import {poolEndpoints, PoolTraffic} from '../testing/pool_traffic.ts';
 
@@ -65,6 +65,7 @@
       const manager = fleet.active[0]!;
       const announcer = new ReplicaAnnouncer({
         clock: fleet.clock,
+        incarnation: manager.identity.incarnation,
         announce: announcement => manager.announce(announcement),
       });
       const pool = new PoolTraffic({
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -69,7 +69,7 @@
     .toConstantValue(new EventLoopMonitor({...context, metrics}));
   bindFleet(container, context, self);
   bindPermits(container, context, self);
-  bindRequests(container, context);
+  bindRequests(container, context, self);
   bindStore(container, context, self);
   return container;
 }
@@ -88,6 +88,7 @@
         clock,
         logger,
         onSent: (kind, bytes) => container.get(PeerTraffic).add(kind, bytes),
+        onSkipped: kind => container.get(PeerTraffic).addSkipped(kind),
       }),
   );
   const connected = () =>
@@ -137,8 +138,7 @@
     () =>
       new FleetLoad({
         clock,
-        localReport: () => container.get(FleetStateExchange).ownReport(),
-        localArrivals: () => container.get(EndpointRouter).arrivalCounts(),
+        localLoad: () => container.get(FleetStateExchange).ownLoad(),
       }),
   );
   container.bind(FleetStateExchange).toDynamicValue(
@@ -182,13 +182,20 @@
   return Math.max(2, Math.floor(limit * share));
 }
 
-function bindRequests(container: Container, context: EntryContext): void {
+function bindRequests(
+  container: Container,
+  context: EntryContext,
+  self: PeerIdentity,
+): void {
   const {clock, logger, platform, settings} = context;
-  container
-    .bind(ReplicaMap)
-    .toDynamicValue(
-      () => new ReplicaMap({registry: container.get(EndpointRegistry), clock}),
-    );
+  container.bind(ReplicaMap).toDynamicValue(
+    () =>
+      new ReplicaMap({
+        registry: container.get(EndpointRegistry),
+        incarnation: self.incarnation,
+        clock,
+      }),
+  );
   container.bind(EndpointRouter).toDynamicValue(
     () =>
       new EndpointRouter({
@@ -207,7 +214,7 @@
             .get(ConfigurationSource)
             .index?.configuration.services.get(name),
         onDemandChanged: () => {
-          container.get(FleetStateExchange).reportSoon();
+          container.get(FleetStateExchange).reportDemandSoon();
           container.get(PoolSupervisor).notify();
         },
       }),
--- a/src/entry/fleet_state_exchange.ts
+++ b/src/entry/fleet_state_exchange.ts
@@ -1,14 +1,18 @@
 import {unreachable} from '../errors/mod.ts';
 import {
-  type ArrivalCount,
-  type LoadReport,
+  FINAL_HOPS,
+  type HostLoad,
   planForwarding,
+  type ReportDisposition,
 } from '../fleet/mod.ts';
 import type {PeerIdentity, PeerMessage, PeerMessageOf} from '../peers/mod.ts';
 import type {TableUpdate} from '../stores/mod.ts';
 import {sleep} from '../time/mod.ts';
 import type {FleetStateExchangeOptions} from './_fleet_state_exchange_options.ts';
 import {decodeTableUpdate, encodeTableUpdate} from './_table_message.ts';
+import {DemandReporter} from './demand_reporter.ts';
+import {LoadReporter} from './load_reporter.ts';
+import {StandbyDigest} from './standby_digest.ts';
 
 /** A message that is passed on to hosts without a connection to its sender. */
 type Announcement = PeerMessageOf<
@@ -21,23 +25,16 @@
   | 'prompt_part'
 >;
 
-/** Interval between load reports. */
-const REPORT_INTERVAL_MILLISECONDS = 200;
+type ResendableReport = PeerMessageOf<'resend_request'>['report'];
 
-/** Minimum interval between load reports, also when the demand changes. */
-const MINIMUM_REPORT_INTERVAL_MILLISECONDS = 50;
+/** Interval between load reports of an active host. */
+const REPORT_INTERVAL_MILLISECONDS = 100;
 
-/** Interval between arrival reports, which are only used to compute rates. */
-const ARRIVAL_REPORT_INTERVAL_MILLISECONDS = 1000;
+/** Interval between load reports of a standby host. */
+const STANDBY_REPORT_INTERVAL_MILLISECONDS = 500;
 
-/** Interval between unchanged load reports, which serve as heartbeats. */
-const IDLE_REPORT_INTERVAL_MILLISECONDS = 500;
-
-/** Interval between unchanged reports of a standby host, and between digests. */
-const STANDBY_INTERVAL_MILLISECONDS = 1000;
-
-/** Interval between requests for a table of which changes are missing. */
-const TABLE_REQUEST_INTERVAL_MILLISECONDS = 500;
+/** Minimum interval between requests to one peer for the same complete state. */
+const RESEND_INTERVAL_MILLISECONDS = 500;
 
 /** Omits keys from each member of a union. */
 type DistributiveOmit<Union, Key extends PropertyKey> = Union extends unknown
@@ -47,33 +44,43 @@
 /**
  * Exchanges the load, demand and changes known to this host with its peers.
  *
- * An active host sends its reports to the other active hosts, and a digest of all
- * reports to its standby hosts. A standby host reports only to its upstream host,
- * which counts it as its own. Announcements are passed on along the same
- * connections.
+ * An active host sends its load to the other active hosts, its demand to the hosts
+ * that manage pools, and a digest of all loads and replicas to its standby hosts. A
+ * standby host reports only to its upstream host, which counts it as its own. Reports
+ * contain what has changed since the previous one; a host that misses one asks for
+ * a complete one. Announcements are passed on along the same connections.
  */
 export class FleetStateExchange {
   private readonly abortController = new AbortController();
+  private readonly loadReporter: LoadReporter;
+  private readonly demandReporter: DemandReporter;
+  private readonly standbyDigest: StandbyDigest;
   private readonly knownStandbyHosts = new Set<string>();
-  private lastReport = '';
-  private isReportScheduled = false;
-  private reportedAt = Number.NEGATIVE_INFINITY;
-  private arrivalsReportedAt = Number.NEGATIVE_INFINITY;
-  private reportedArrivals = new Map<string, number>();
-  private readonly tableRequestedAt = new Map<string, number>();
-  private digestSentAt = Number.NEGATIVE_INFINITY;
+  /** Time of the last request to a peer, by peer and subject. */
+  private readonly requestedAt = new Map<string, number>();
 
   constructor(private readonly options: FleetStateExchangeOptions) {
-    options.peers.onMessage((from, message) => this.receive(from, message));
-    options.peers.onConnectionEvent(observation => {
+    const {peers} = options;
+    this.loadReporter = new LoadReporter({
+      ...options,
+      send: report => peers.sendState(this.reportReceivers(), report),
+    });
+    this.demandReporter = new DemandReporter({
+      ...options,
+      send: (hostId, report) => peers.sendState([hostId], report),
+    });
+    this.standbyDigest = new StandbyDigest(options);
+    peers.onMessage((from, message) => this.receive(from, message));
+    peers.onConnectionEvent(observation => {
       if (observation.kind === 'connected') {
         this.requestMissingTables(observation.peer);
-        this.reportedArrivals.clear();
         options.onPeerConnected(observation.peer.hostId);
       }
       if (observation.kind === 'disconnected') {
-        options.load.removeHost(observation.peer.hostId);
-        this.knownStandbyHosts.delete(observation.peer.hostId);
+        const {hostId} = observation.peer;
+        options.load.removeHost(hostId);
+        this.demandReporter.removeHost(hostId);
+        this.knownStandbyHosts.delete(hostId);
       }
     });
   }
@@ -83,11 +90,10 @@
     const {clock} = this.options;
     while (!this.abortController.signal.aborted) {
       this.report();
-      this.reportArrivals();
-      this.sendDigest();
+      this.standbyDigest.send();
       const interval = this.options.topology.isActive
         ? REPORT_INTERVAL_MILLISECONDS
-        : IDLE_REPORT_INTERVAL_MILLISECONDS;
+        : STANDBY_REPORT_INTERVAL_MILLISECONDS;
       await sleep(clock, interval, this.abortController.signal);
     }
   }
@@ -97,54 +103,20 @@
     this.abortController.abort();
   }
 
-  /**
-   * Sends a load report soon, because the demand has changed. Many requests at once
-   * share one report.
-   */
-  reportSoon(): void {
-    if (this.isReportScheduled) return;
-    this.isReportScheduled = true;
-    const sinceReport =
-      this.options.clock.monotonicMilliseconds() - this.reportedAt;
-    this.options.clock.startTimer(
-      Math.max(0, MINIMUM_REPORT_INTERVAL_MILLISECONDS - sinceReport),
-      () => {
-        this.isReportScheduled = false;
-        this.report();
-      },
-    );
+  /** Reports the demand soon, because it has changed. */
+  reportDemandSoon(): void {
+    this.demandReporter.reportSoon();
   }
 
-  /** Sends a load report if it has changed or the idle interval has passed. */
+  /** Reports the load and the demand of this host. */
   report(): void {
-    const {clock, load, registry, topology} = this.options;
-    const peerInFlight = load.peerInFlight();
-    for (const endpoint of registry.all()) {
-      endpoint.peerInFlight = peerInFlight.get(endpoint.record.id) ?? 0;
-    }
-    const isStandby = !topology.isActive;
-    const report = isStandby
-      ? {...this.ownReport(), isStandby}
-      : load.combinedReport();
-    const content = JSON.stringify({
-      ...report,
-      spent: report.spent.map(({team, tokens}) => [team, tokens]),
-      waiting: report.waiting.map(({target, requests}) => [target, requests]),
-    });
-    const now = clock.monotonicMilliseconds();
-    const interval = isStandby
-      ? STANDBY_INTERVAL_MILLISECONDS
-      : IDLE_REPORT_INTERVAL_MILLISECONDS;
-    const isDue = now - this.reportedAt >= interval;
-    if (content === this.lastReport && !isDue) return;
-    this.lastReport = content;
-    this.reportedAt = now;
-    this.sendToPeers({kind: 'load_report', ...report});
+    this.loadReporter.report();
+    this.demandReporter.report();
   }
 
-  /** Returns the current load report of this host alone. */
-  ownReport(): LoadReport {
-    const {registry, router, rateLimiter} = this.options;
+  /** Returns the current load of this host alone. */
+  ownLoad(): HostLoad {
+    const {registry, router} = this.options;
     const inFlight = [...registry.all()].flatMap(endpoint =>
       [...endpoint.inFlightByTarget].map(([target, requests]) => ({
         endpoint: endpoint.record.id,
@@ -155,14 +127,17 @@
     return {
       inFlight,
       waiting: router.waiting(),
-      spent: [...rateLimiter.spending()],
-      isStandby: false,
+      arrivals: router.arrivalCounts(),
     };
   }
 
   /** Sends a message to all hosts; those without a connection get it from others. */
   announce(message: DistributiveOmit<Announcement, 'hops'>): void {
-    this.options.peers.broadcast({...message, hops: 0});
+    const {peers} = this.options;
+    // Standby hosts get the replicas with the digest.
+    if (message.kind === 'replica_state')
+      peers.sendState(this.reportReceivers(), {...message, hops: 0});
+    else peers.broadcast({...message, hops: 0});
   }
 
   /** Sends the changes of a table that this host has read. */
@@ -170,80 +145,49 @@
     this.announce(encodeTableUpdate(update));
   }
 
-  /** Arrivals since the last report; all of them after a peer has connected. */
-  private reportArrivals(): void {
-    const {clock, load, router, topology} = this.options;
-    const now = clock.monotonicMilliseconds();
-    if (now - this.arrivalsReportedAt < ARRIVAL_REPORT_INTERVAL_MILLISECONDS)
-      return;
-    this.arrivalsReportedAt = now;
-    const counts = topology.isActive
-      ? load.combinedArrivals()
-      : router.arrivalCounts();
-    const arrivals = counts.filter(
-      count => this.reportedArrivals.get(keyOf(count)) !== count.requests,
-    );
-    if (arrivals.length === 0) return;
-    for (const count of arrivals) {
-      this.reportedArrivals.set(keyOf(count), count.requests);
-    }
-    this.sendToPeers({kind: 'arrival_report', arrivals});
-  }
-
-  private sendDigest(): void {
-    const {clock, load, peers, rateLimiter, topology} = this.options;
-    const now = clock.monotonicMilliseconds();
-    const isDue = now - this.digestSentAt >= STANDBY_INTERVAL_MILLISECONDS;
-    if (!topology.isActive || !isDue) return;
-    this.digestSentAt = now;
-    const standbyHosts = load.standbyHosts();
-    if (standbyHosts.length === 0) return;
-    peers.sendToAll(standbyHosts, {
-      kind: 'fleet_digest',
-      inFlight: load.digestCounts(),
-      spent: [...rateLimiter.fleetSpending()],
-      downHosts: [...topology.downHosts],
-    });
-  }
-
-  /** Sends to the upstream host, or from an active host to the other active ones. */
-  private sendToPeers(message: PeerMessage): void {
+  /** The upstream host of a standby host; the other active hosts of an active one. */
+  private reportReceivers(): readonly string[] {
     const {load, peers, topology} = this.options;
     const {upstream} = topology;
-    if (upstream !== undefined) {
-      peers.send(upstream, message);
-      return;
-    }
+    if (upstream !== undefined) return [upstream];
     const standbyHosts = new Set(load.standbyHosts());
-    const others = peers
+    return peers
       .connectedPeers()
       .map(({hostId}) => hostId)
       .filter(hostId => !standbyHosts.has(hostId));
-    peers.sendToAll(others, message);
   }
 
   /** Passes an announcement on to hosts without a connection to its sender. */
   private passOn(from: PeerIdentity, message: Announcement): void {
     const {load, peers, topology} = this.options;
+    const standbyHosts = load.standbyHosts();
     const forwarding = planForwarding({
       isActive: topology.isActive,
       hops: message.hops,
       from: from.hostId,
-      standbyHosts: load.standbyHosts(),
+      standbyHosts,
       peers: peers.connectedPeers().map(({hostId}) => hostId),
     });
     if (forwarding === undefined) return;
-    peers.sendToAll(forwarding.to, {...message, hops: forwarding.hops});
+    // Standby hosts get the replicas with the digest.
+    const to =
+      message.kind === 'replica_state'
+        ? forwarding.to.filter(hostId => !standbyHosts.includes(hostId))
+        : forwarding.to;
+    peers.sendToAll(to, {...message, hops: forwarding.hops});
   }
 
   private receive(from: PeerIdentity, message: PeerMessage): void {
-    const {load, rateLimiter, replicas, crashTracker} = this.options;
+    const {load, rateLimiter, crashTracker} = this.options;
     switch (message.kind) {
       case 'load_report':
         this.receiveLoadReport(from, message);
         return;
-      case 'arrival_report':
-        load.receiveArrivals(from.hostId, message.arrivals);
+      case 'demand_report':
+        this.receiveDemandReport(from, message);
+        return;
+      case 'resend_request':
+        this.resend(from, message.report);
         return;
       case 'fleet_digest':
         load.receiveDigest(message.inFlight);
@@ -251,9 +195,7 @@
         this.options.topology.adoptDownHosts(message.downHosts);
         return;
       case 'replica_state':
-        replicas.receive(message);
-        this.options.onManagerAnnounced(message.service, message.renewal);
-        this.passOn(from, message);
+        this.receiveReplicaState(from, message);
         return;
       case 'lease_resigned':
         this.options.onManagerResigned(
@@ -314,6 +256,107 @@
     }
   }
 
+  private receiveLoadReport(
+    from: PeerIdentity,
+    report: PeerMessageOf<'load_report'>,
+  ): void {
+    const {load, rateLimiter, topology} = this.options;
+    // A standby host gets the load of all hosts with the digest.
+    if (topology.upstream !== undefined) return;
+    const disposition = load.receiveLoad(from, report);
+    this.requestIfMissing(from, 'load_report', disposition);
+    if (disposition !== 'apply') return;
+    if (!report.isStandby) {
+      this.knownStandbyHosts.delete(from.hostId);
+      rateLimiter.receive(processOf(from), report.spent);
+      return;
+    }
+    rateLimiter.receiveFromStandby(processOf(from), report.spent);
+    if (this.knownStandbyHosts.has(from.hostId)) return;
+    this.knownStandbyHosts.add(from.hostId);
+    this.standbyDigest.sendReplicas(from.hostId);
+  }
+
+  private receiveDemandReport(
+    from: PeerIdentity,
+    report: PeerMessageOf<'demand_report'>,
+  ): void {
+    const disposition = this.options.load.receiveDemand(from, report);
+    this.requestIfMissing(from, 'demand_report', disposition);
+    if (disposition === 'apply' && report.waiting.length > 0)
+      this.options.onDemandChanged();
+  }
+
+  private receiveReplicaState(
+    from: PeerIdentity,
+    message: PeerMessageOf<'replica_state'>,
+  ): void {
+    const {service, renewal} = message;
+    const {replicas, onManagerAnnounced} = this.options;
+    const disposition = replicas.receive(message);
+    this.requestIfMissing(from, 'replica_state', disposition);
+    onManagerAnnounced(service, renewal);
+    this.demandReporter.recordManager(service, from.hostId);
+    this.passOn(from, message);
+  }
+
+  private requestIfMissing(
+    from: PeerIdentity,
+    report: ResendableReport,
+    disposition: ReportDisposition,
+  ): void {
+    if (disposition !== 'resend') return;
+    this.requestOnce(from, {kind: 'resend_request', report}, report);
+  }
+
+  /** Sends a request unless the same one was sent a moment ago. */
+  private requestOnce(
+    to: PeerIdentity,
+    request: PeerMessage,
+    subject: string,
+  ): void {
+    const {clock, peers} = this.options;
+    const now = clock.monotonicMilliseconds();
+    const key = `${to.hostId} ${subject}`;
+    const requestedAt = this.requestedAt.get(key) ?? Number.NEGATIVE_INFINITY;
+    if (now - requestedAt < RESEND_INTERVAL_MILLISECONDS) return;
+    this.requestedAt.set(key, now);
+    peers.send(to.hostId, request);
+  }
+
+  /** Sends a complete report to a host that misses reports. */
+  private resend(to: PeerIdentity, report: ResendableReport): void {
+    switch (report) {
+      case 'load_report':
+        this.options.peers.send(to.hostId, this.loadReporter.completeReport());
+        return;
+      case 'demand_report':
+        this.demandReporter.resend(to.hostId);
+        return;
+      case 'replica_state':
+        this.sendReplicas(to);
+        return;
+      default:
+        return unreachable(report);
+    }
+  }
+
+  /** Sends the complete replicas of all pools as known here. */
+  private sendReplicas({hostId}: PeerIdentity): void {
+    const {peers, replicas} = this.options;
+    if (this.knownStandbyHosts.has(hostId)) {
+      this.standbyDigest.sendReplicas(hostId);
+      return;
+    }
+    for (const announcement of replicas.currentAnnouncements()) {
+      peers.sendState([hostId], {
+        kind: 'replica_state',
+        hops: FINAL_HOPS,
+        ...announcement,
+      });
+    }
+  }
+
   private receiveTableUpdate(
     from: PeerIdentity,
     message: PeerMessageOf<'table_update'>,
@@ -340,12 +383,7 @@
   }
 
   private requestTable(from: PeerIdentity, table: string): void {
-    const {clock, peers} = this.options;
-    const now = clock.monotonicMilliseconds();
-    const requestedAt = this.tableRequestedAt.get(table) ?? -Infinity;
-    if (now - requestedAt < TABLE_REQUEST_INTERVAL_MILLISECONDS) return;
-    this.tableRequestedAt.set(table, now);
-    peers.send(from.hostId, {kind: 'table_request', table});
+    this.requestOnce(from, {kind: 'table_request', table}, `table ${table}`);
   }
 
   private sendTable(to: PeerIdentity, table: string): void {
@@ -356,36 +394,8 @@
       hops: 0,
     });
   }
-
-  private receiveLoadReport(
-    from: PeerIdentity,
-    report: PeerMessageOf<'load_report'>,
-  ): void {
-    const {load, rateLimiter, replicas, peers} = this.options;
-    load.receive(from.hostId, report);
-    if (report.waiting.length > 0) this.options.onDemandChanged();
-    if (!report.isStandby) {
-      this.knownStandbyHosts.delete(from.hostId);
-      rateLimiter.receive(processOf(from), report.spent);
-      return;
-    }
-    rateLimiter.receiveFromStandby(processOf(from), report.spent);
-    if (this.knownStandbyHosts.has(from.hostId)) return;
-    this.knownStandbyHosts.add(from.hostId);
-    for (const announcement of replicas.currentAnnouncements()) {
-      peers.send(from.hostId, {
-        kind: 'replica_state',
-        hops: 2,
-        ...announcement,
-      });
-    }
-  }
 }
 
 function processOf({hostId, incarnation}: PeerIdentity): string {
   return `${hostId}/${incarnation}`;
 }
-
-function keyOf({service, model}: ArrivalCount): string {
-  return `${service} ${model}`;
-}
--- a/src/fleet/fleet_load.ts
+++ b/src/fleet/fleet_load.ts
@@ -1,34 +1,24 @@
-import type {PeerMessageOf} from '../peers/mod.ts';
+import type {PeerIdentity, PeerMessageOf} from '../peers/mod.ts';
 import type {Clock} from '../time/mod.ts';
-
-/** Load report of one host. */
-export type LoadReport = Omit<PeerMessageOf<'load_report'>, 'kind'>;
-
-/** Number of requests for one model since the start of a host. */
-export type ArrivalCount = PeerMessageOf<'arrival_report'>['arrivals'][number];
-
-/** Requests waiting for one target, summed over all hosts. */
-export interface WaitingTarget {
-  readonly service: string;
-  readonly target: string;
-  requests: number;
-  /**
-   * Requests that can still meet their latency objective after a load from
-   * disk.
-   */
-  timely: number;
-  /** Priority of the most urgent request; 0 is the most urgent. */
-  priority: number;
-  waitedMilliseconds: number;
-}
+import {
+  HostDemand,
+  sumArrivals,
+  sumWaiting,
+  type WaitingTarget,
+} from './host_demand.ts';
+import type {
+  ArrivalCount,
+  HostLoad,
+  InFlightCount,
+  WaitingCount,
+} from './load_report.ts';
+import {type ReportDisposition, ReportSequence} from './report_sequence.ts';
 
 /** Options of {@link FleetLoad}. */
 export interface FleetLoadOptions {
   clock: Clock;
-  /** Returns the report of this host; called for each query. */
-  localReport: () => LoadReport;
-  /** Returns the request counts of this host by model. */
-  localArrivals: () => readonly ArrivalCount[];
+  /** Returns the load of this host; called for each query. */
+  localLoad: () => HostLoad;
 }
 
 /**
@@ -42,9 +32,15 @@
  */
 const DIGEST_LIFETIME_MILLISECONDS = 4000;
 
-interface ReceivedReport {
-  readonly report: LoadReport;
-  readonly receivedAt: number;
+/** Last reports of one host. */
+interface HostReports {
+  readonly loadSequence: ReportSequence;
+  readonly demandSequence: ReportSequence;
+  readonly inFlight: Map<string, InFlightCount>;
+  readonly demand: HostDemand;
+  isStandby: boolean;
+  loadReceivedAt: number;
+  demandReceivedAt: number;
 }
 
 /** Unfinished requests of all hosts, as an active host reports them. */
@@ -53,72 +49,100 @@
 /**
  * Aggregates the load reports of all hosts. An active host receives those of the
  * other active hosts and of its own standby hosts; a standby host receives only
- * digests.
+ * digests. Demand is reported only to the hosts that manage pools.
  */
 export class FleetLoad {
-  private readonly reports = new Map<string, ReceivedReport>();
-  private readonly peerArrivals = new Map<string, Map<string, ArrivalCount>>();
+  private readonly reports = new Map<string, HostReports>();
   private digest: {counts: DigestCounts; receivedAt: number} | undefined;
 
   constructor(private readonly options: FleetLoadOptions) {}
 
-  /** Replaces the report of a peer. */
-  receive(hostId: string, report: LoadReport): void {
-    const receivedAt = this.options.clock.monotonicMilliseconds();
-    this.reports.set(hostId, {report, receivedAt});
+  /** Applies a report of the load of a peer. */
+  receiveLoad(
+    from: PeerIdentity,
+    report: PeerMessageOf<'load_report'>,
+  ): ReportDisposition {
+    const {sequence, afterSequence, isStandby} = report;
+    const reports = this.reportsOf(from.hostId);
+    const source = from.incarnation;
+    const position = {source, sequence, afterSequence};
+    const disposition = reports.loadSequence.accept(position);
+    if (disposition !== 'apply') return disposition;
+    if (afterSequence === undefined) reports.inFlight.clear();
+    for (const entry of report.inFlight) {
+      const key = `${entry.endpoint} ${entry.target}`;
+      if (entry.requests === 0) reports.inFlight.delete(key);
+      else reports.inFlight.set(key, entry);
+    }
+    reports.isStandby = isStandby;
+    reports.loadReceivedAt = this.now();
+    return disposition;
   }
 
-  /** Replaces the counts of all hosts that an active host has sent. */
-  receiveDigest(counts: DigestCounts): void {
-    const receivedAt = this.options.clock.monotonicMilliseconds();
-    this.digest = {counts, receivedAt};
+  /** Applies a report of the demand of a peer. */
+  receiveDemand(
+    from: PeerIdentity,
+    report: PeerMessageOf<'demand_report'>,
+  ): ReportDisposition {
+    const {sequence, afterSequence, waiting, arrivals} = report;
+    const reports = this.reportsOf(from.hostId);
+    const source = from.incarnation;
+    const position = {source, sequence, afterSequence};
+    const disposition = reports.demandSequence.accept(position);
+    if (disposition !== 'apply') return disposition;
+    const isComplete = afterSequence === undefined;
+    reports.demand.apply({waiting, arrivals, isComplete}, this.now());
+    reports.demandReceivedAt = this.now();
+    return disposition;
   }
 
-  /** Updates the request counts of a peer; unchanged ones may be missing. */
-  receiveArrivals(hostId: string, arrivals: readonly ArrivalCount[]): void {
-    const known =
-      this.peerArrivals.get(hostId) ?? new Map<string, ArrivalCount>();
-    this.peerArrivals.set(hostId, known);
-    for (const arrival of arrivals) {
-      known.set(`${arrival.service} ${arrival.model}`, arrival);
-    }
+  /** Replaces the counts of all hosts that an active host has sent. */
+  receiveDigest(counts: DigestCounts): void {
+    this.digest = {counts, receivedAt: this.now()};
   }
 
   /** Removes the reports of a host whose connection has closed. */
   removeHost(hostId: string): void {
-    this.peerArrivals.delete(hostId);
     this.reports.delete(hostId);
   }
 
   /** Ids of the standby hosts that report to this host. */
   standbyHosts(): readonly string[] {
-    const now = this.options.clock.monotonicMilliseconds();
-    return [...this.reports].flatMap(([hostId, {report, receivedAt}]) =>
-      report.isStandby && now - receivedAt <= REPORT_LIFETIME_MILLISECONDS
-        ? [hostId]
-        : [],
+    return [...this.reports].flatMap(([hostId, reports]) =>
+      reports.isStandby && this.hasFreshLoad(reports) ? [hostId] : [],
     );
   }
 
-  /** Load of this host and of its standby hosts, for the other active hosts. */
-  combinedReport(): LoadReport {
-    const own = this.options.localReport();
-    const standby = [...this.peerReports()].filter(({isStandby}) => isStandby);
+  /** Unfinished requests of this host alone. */
+  ownInFlight(): readonly InFlightCount[] {
+    return this.options.localLoad().inFlight;
+  }
+
+  /** Unfinished requests of this host and of its standby hosts. */
+  combinedInFlight(): readonly InFlightCount[] {
+    const own = this.options.localLoad().inFlight;
+    const standby = this.freshReports().filter(({isStandby}) => isStandby);
     if (standby.length === 0) return own;
-    const reports = [own, ...standby];
-    return {
-      // Contains the tokens of the standby hosts already.
-      spent: own.spent,
-      isStandby: false,
-      inFlight: [...sumInFlight(reports)].flatMap(([endpoint, targets]) =>
-        [...targets].map(([target, requests]) => ({
-          endpoint,
-          target,
-          requests,
-        })),
-      ),
-      waiting: sumWaiting(reports),
-    };
+    const counts = [own, ...standby.map(({inFlight}) => inFlight.values())];
+    return [...sumInFlight(counts)].flatMap(([endpoint, targets]) =>
+      [...targets].map(([target, requests]) => ({endpoint, target, requests})),
+    );
+  }
+
+  /** Waiting requests of this host and of its standby hosts. */
+  combinedWaiting(): readonly WaitingTarget[] {
+    return sumWaiting([
+      ...this.options.localLoad().waiting,
+      ...this.peerWaiting(({isStandby}) => isStandby),
+    ]);
+  }
+
+  /** Waiting requests of all hosts that have reported them to this one. */
+  allWaiting(): readonly WaitingTarget[] {
+    return sumWaiting([
+      ...this.options.localLoad().waiting,
+      ...this.peerWaiting(() => true),
+    ]);
   }
 
   /** Unfinished requests of all hosts, by endpoint. */
@@ -132,21 +156,19 @@
   /** Unfinished requests of the other hosts, by endpoint. */
   peerInFlight(): ReadonlyMap<string, number> {
     const sums = new Map<string, number>();
-    for (const report of this.peerReports()) {
-      for (const {endpoint, requests} of report.inFlight) {
-        sums.set(endpoint, (sums.get(endpoint) ?? 0) + requests);
-      }
+    const add = (endpoint: string, requests: number) =>
+      sums.set(endpoint, (sums.get(endpoint) ?? 0) + requests);
+    for (const {inFlight} of this.freshReports()) {
+      for (const {endpoint, requests} of inFlight.values())
+        add(endpoint, requests);
     }
-    const now = this.options.clock.monotonicMilliseconds();
     const {digest} = this;
     if (
       digest !== undefined &&
-      now - digest.receivedAt <= DIGEST_LIFETIME_MILLISECONDS
+      this.now() - digest.receivedAt <= DIGEST_LIFETIME_MILLISECONDS
     ) {
-      for (const {endpoint, requests} of digest.counts) {
-        sums.set(endpoint, (sums.get(endpoint) ?? 0) + requests);
-      }
-      for (const {endpoint, requests} of this.options.localReport().inFlight) {
+      for (const {endpoint, requests} of digest.counts) add(endpoint, requests);
+      for (const {endpoint, requests} of this.options.localLoad().inFlight) {
         const others = (sums.get(endpoint) ?? 0) - requests;
         sums.set(endpoint, Math.max(0, others));
       }
@@ -156,65 +178,96 @@
 
   /** Unfinished requests of all hosts, by endpoint and then by target. */
   inFlight(): ReadonlyMap<string, ReadonlyMap<string, number>> {
-    return sumInFlight(this.allReports());
+    return sumInFlight([
+      this.options.localLoad().inFlight,
+      ...this.freshReports().map(({inFlight}) => inFlight.values()),
+    ]);
   }
 
   /** Targets of a service that requests wait for on any host. */
   waiting(service: string): readonly WaitingTarget[] {
-    return sumWaiting(this.allReports()).filter(
-      entry => entry.service === service,
-    );
+    return this.allWaiting().filter(entry => entry.service === service);
   }
 
   /** Number of requests for each model of a service since the hosts started. */
   arrivals(service: string): ReadonlyMap<string, number> {
-    const sums = new Map<string, number>();
-    for (const {service: name, model, requests} of this.allArrivals()) {
-      if (name === service) sums.set(model, (sums.get(model) ?? 0) + requests);
-    }
-    return sums;
+    const counts = this.allArrivals().filter(
+      entry => entry.service === service,
+    );
+    return new Map(counts.map(({model, requests}) => [model, requests]));
   }
 
   /** Request counts of this host and of its standby hosts. */
   combinedArrivals(): readonly ArrivalCount[] {
-    const sums = new Map<string, ArrivalCount>();
-    const standby = this.standbyHosts().flatMap(hostId => [
-      ...(this.peerArrivals.get(hostId)?.values() ?? []),
+    return this.sumArrivalsOf(({isStandby}) => isStandby);
+  }
+
+  /** Request counts of all hosts that have reported them to this one. */
+  allArrivals(): readonly ArrivalCount[] {
+    return this.sumArrivalsOf(() => true);
+  }
+
+  private sumArrivalsOf(
+    isIncluded: (reports: HostReports) => boolean,
+  ): readonly ArrivalCount[] {
+    const peers = [...this.reports.values()].filter(isIncluded);
+    return sumArrivals([
+      ...this.options.localLoad().arrivals,
+      ...peers.flatMap(({demand}) => demand.arrivals()),
     ]);
-    for (const arrival of [...this.options.localArrivals(), ...standby]) {
-      const key = `${arrival.service} ${arrival.model}`;
-      const requests = (sums.get(key)?.requests ?? 0) + arrival.requests;
-      sums.set(key, {...arrival, requests});
-    }
-    return [...sums.values()];
   }
 
-  private *allArrivals(): Iterable<ArrivalCount> {
-    yield* this.options.localArrivals();
-    for (const arrivals of this.peerArrivals.values()) {
-      yield* arrivals.values();
-    }
+  private peerWaiting(
+    isIncluded: (reports: HostReports) => boolean,
+  ): readonly WaitingCount[] {
+    const now = this.now();
+    return [...this.reports.values()]
+      .filter(
+        reports =>
+          isIncluded(reports) &&
+          now - reports.demandReceivedAt <= REPORT_LIFETIME_MILLISECONDS,
+      )
+      .flatMap(({demand}) => demand.waiting(now));
   }
 
-  private *allReports(): Iterable<LoadReport> {
-    yield this.options.localReport();
-    yield* this.peerReports();
+  private freshReports(): readonly HostReports[] {
+    return [...this.reports.values()].filter(reports =>
+      this.hasFreshLoad(reports),
+    );
+  }
+
+  private hasFreshLoad({loadReceivedAt}: HostReports): boolean {
+    return this.now() - loadReceivedAt <= REPORT_LIFETIME_MILLISECONDS;
   }
 
-  private *peerReports(): Iterable<LoadReport> {
-    const now = this.options.clock.monotonicMilliseconds();
-    for (const {report, receivedAt} of this.reports.values()) {
-      if (now - receivedAt <= REPORT_LIFETIME_MILLISECONDS) yield report;
+  private reportsOf(hostId: string): HostReports {
+    let reports = this.reports.get(hostId);
+    if (reports === undefined) {
+      reports = {
+        loadSequence: new ReportSequence(),
+        demandSequence: new ReportSequence(),
+        inFlight: new Map(),
+        demand: new HostDemand(),
+        isStandby: false,
+        loadReceivedAt: Number.NEGATIVE_INFINITY,
+        demandReceivedAt: Number.NEGATIVE_INFINITY,
+      };
+      this.reports.set(hostId, reports);
     }
+    return reports;
+  }
+
+  private now(): number {
+    return this.options.clock.monotonicMilliseconds();
   }
 }
 
 function sumInFlight(
-  reports: Iterable<LoadReport>,
+  counts: Iterable<Iterable<InFlightCount>>,
 ): Map<string, Map<string, number>> {
   const sums = new Map<string, Map<string, number>>();
-  for (const report of reports) {
-    for (const {endpoint, target, requests} of report.inFlight) {
+  for (const entries of counts) {
+    for (const {endpoint, target, requests} of entries) {
       const targets = sums.get(endpoint) ?? new Map<string, number>();
       targets.set(target, (targets.get(target) ?? 0) + requests);
       sums.set(endpoint, targets);
@@ -222,25 +275,3 @@
   }
   return sums;
 }
-
-function sumWaiting(reports: Iterable<LoadReport>): WaitingTarget[] {
-  const sums = new Map<string, WaitingTarget>();
-  for (const report of reports) {
-    for (const entry of report.waiting) {
-      const key = `${entry.service} ${entry.target}`;
-      const sum = sums.get(key);
-      if (sum === undefined) {
-        sums.set(key, {...entry});
-        continue;
-      }
-      sum.requests += entry.requests;
-      sum.timely += entry.timely;
-      sum.priority = Math.min(sum.priority, entry.priority);
-      sum.waitedMilliseconds = Math.max(
-        sum.waitedMilliseconds,
-        entry.waitedMilliseconds,
-      );
-    }
-  }
-  return [...sums.values()];
-}
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -41,13 +41,25 @@
 } from './fleet_topology.ts';
 export {FleetShares, type FleetSharesOptions} from './fleet_shares.ts';
 export {HostRegistry, type HostRegistryOptions} from './host_registry.ts';
+export {FleetLoad, type FleetLoadOptions} from './fleet_load.ts';
+export {arrivalKey, waitingKey, type WaitingTarget} from './host_demand.ts';
+export type {
+  ArrivalCount,
+  HostLoad,
+  InFlightCount,
+  WaitingCount,
+} from './load_report.ts';
 export {
-  type ArrivalCount,
-  FleetLoad,
-  type FleetLoadOptions,
-  type LoadReport,
-  type WaitingTarget,
-} from './fleet_load.ts';
+  type ReportDisposition,
+  type ReportPosition,
+  ReportSequence,
+} from './report_sequence.ts';
+export {
+  hasChanges,
+  type StateChanges,
+  StateTracker,
+  type StateTrackerOptions,
+} from './state_tracker.ts';
 export {chooseEndpoint, type ChooseEndpointOptions} from './choose_endpoint.ts';
 export {chooseGranter, type GranterInput} from './choose_granter.ts';
 export {LruSet} from './lru_set.ts';
--- a/src/peers/peer_codec.ts
+++ b/src/peers/peer_codec.ts
@@ -1,3 +1,4 @@
+import {constants, deflateRawSync, inflateRawSync} from 'node:zlib';
 import {Packr} from 'msgpackr';
 import {z} from 'zod';
 import {failure, type Result, success} from '../errors/mod.ts';
@@ -23,9 +24,21 @@
 // With record structures, decoding a frame would depend on earlier frames.
 const packr = new Packr({useRecords: false, encodeUndefinedAsNil: true});
 
-/** Encodes a frame with MessagePack. */
+/** First byte of a compressed frame; MessagePack never uses it. */
+const COMPRESSED_MARK = 0xc1;
+
+/** Size from which frames are compressed; most of a long one are repeated names. */
+const COMPRESSION_BYTES = 512;
+
+/** Maximum size of a frame after decompression. */
+const MAXIMUM_FRAME_BYTES = 16 * 1024 * 1024;
+
+/** Encodes a frame with MessagePack, and compresses a long one. */
 export function encodePeerFrame(frame: PeerFrame): Uint8Array {
-  return packr.pack(frame);
+  const bytes = packr.pack(frame);
+  if (bytes.length < COMPRESSION_BYTES) return bytes;
+  const compressed = deflateRawSync(bytes, {level: constants.Z_BEST_SPEED});
+  return Buffer.concat([Buffer.of(COMPRESSED_MARK), compressed]);
 }
 
 /** Decodes and validates a frame. */
@@ -34,7 +47,13 @@
 ): Result<PeerFrame, PeerCodecError> {
   let value: unknown;
   try {
-    value = packr.unpack(bytes);
+    value = packr.unpack(
+      bytes[0] === COMPRESSED_MARK
+        ? inflateRawSync(bytes.subarray(1), {
+            maxOutputLength: MAXIMUM_FRAME_BYTES,
+          })
+        : bytes,
+    );
   } catch (error) {
     return failure({kind: 'malformed', reason: String(error)});
   }
--- a/src/peers/peer_identity.ts
+++ b/src/peers/peer_identity.ts
@@ -1,7 +1,7 @@
 import {z} from 'zod';
 
 /** Version of the protocol between hosts. */
-export const PEER_PROTOCOL_VERSION = 2;
+export const PEER_PROTOCOL_VERSION = 3;
 
 /** Schema of {@link PeerGreeting}. */
 export const peerGreetingSchema = z.object({
--- a/src/peers/peer_message.ts
+++ b/src/peers/peer_message.ts
@@ -8,6 +8,13 @@
 /** Number of hosts that have passed an announcement on. */
 const hops = z.number().int().nonnegative().default(0);
 const correlationId = z.string().min(1).max(64);
+/** Position of a report among those of its sender. */
+const reportPosition = {
+  /** Increases with each report. */
+  sequence: z.number().int().nonnegative(),
+  /** Number of the report that this one changes; absent from a complete report. */
+  afterSequence: z.number().int().nonnegative().optional(),
+};
 
 /** Schema of {@link PeerMessage}. */
 export const peerMessageSchema = z.discriminatedUnion('kind', [
@@ -115,38 +122,60 @@
     epoch: z.number().int(),
     tokens,
   }),
-  /** Load of the sending host; replaces its previous report. */
+  /** Changes of the load of the sending host since its previous report. */
   z.object({
     kind: z.literal('load_report'),
-    /** Unfinished requests by endpoint and target. */
+    ...reportPosition,
+    /** Unfinished requests by endpoint and target; 0 when all have ended. */
     inFlight: z.array(
       z.object({
         endpoint: z.string(),
         target: z.string(),
-        requests: z.number().int().positive(),
+        requests: z.number().int().nonnegative(),
       }),
     ),
+    /** Tokens spent by each team on this host since the host started. */
+    spent: z.array(z.object({team: z.string(), tokens, level: z.number()})),
+    /**
+     * Whether the sender is a standby host, whose report the receiver adds to its
+     * own.
+     */
+    isStandby: z.boolean().default(false),
+  }),
+  /** Changes of the sender's demand, for the host that manages the pool. */
+  z.object({
+    kind: z.literal('demand_report'),
+    ...reportPosition,
     /** Requests that wait for a model or adapter. */
     waiting: z.array(
       z.object({
         service: z.string(),
         target: z.string(),
-        requests: z.number().int().positive(),
+        /** 0 when none is left. */
+        requests: z.number().int().nonnegative(),
         /** Number of these that a load from disk could still serve before their deadline. */
         timely: z.number().int().nonnegative(),
         /** Priority of the most urgent request; 0 is the highest. */
         priority: z.number(),
+        /** Whether a request is held, and not only expected to be sent again. */
+        isHeld: z.boolean(),
         /** Time for which the oldest request has waited. */
         waitedMilliseconds: milliseconds,
       }),
     ),
-    /** Tokens spent by each team on this host since the host started. */
-    spent: z.array(z.object({team: z.string(), tokens, level: z.number()})),
-    /**
-     * Whether the sender is a standby host, whose report the receiver adds to its
-     * own.
-     */
-    isStandby: z.boolean().default(false),
+    /** Number of requests for each model since the sending process started. */
+    arrivals: z.array(
+      z.object({
+        service: z.string(),
+        model: z.string(),
+        requests: z.number().int(),
+      }),
+    ),
+  }),
+  /** Asks the receiver for a complete report, since one of its reports is missing. */
+  z.object({
+    kind: z.literal('resend_request'),
+    report: z.enum(['load_report', 'demand_report', 'replica_state']),
   }),
   /** Load of all hosts, sent by an active host to its standby hosts. */
   z.object({
@@ -186,23 +215,15 @@
     /** Time of the store's clock at which the reader regained the store. */
     regainedAt: milliseconds.nullable(),
   }),
-  /** Number of requests for each model since the sending process started. */
-  z.object({
-    kind: z.literal('arrival_report'),
-    arrivals: z.array(
-      z.object({
-        service: z.string(),
-        model: z.string(),
-        requests: z.number().int(),
-      }),
-    ),
-  }),
-  /** Replicas on some engines, sent by the host that manages the pool. */
+  /** Changes of the replicas of a pool, sent by the host that manages it. */
   z.object({
     kind: z.literal('replica_state'),
     hops,
     service: z.string(),
     epoch: z.number().int(),
+    /** Process that numbers the announcements. */
+    announcer: z.string(),
+    ...reportPosition,
     /** Latest renewal of the sender's lease. */
     renewal: z
       .object({version: z.number().int(), sinceMilliseconds: milliseconds})
@@ -216,17 +237,17 @@
       }),
     ),
     /** Models that only the weight store has, and when a further one can be ready. */
-    remoteOnly: z
-      .object({
-        /** Absent when unchanged. */
-        models: z.array(z.string()).optional(),
-        readyInMilliseconds: milliseconds,
-      })
-      .optional(),
+    remoteOnly: z.object({
+      added: z.array(z.string()),
+      removed: z.array(z.string()),
+      readyInMilliseconds: milliseconds,
+    }),
     /** Expected time until targets without a replica are ready. */
     expected: z.array(
       z.object({target: z.string(), readyInMilliseconds: milliseconds}),
     ),
+    /** Targets that are no longer expected. */
+    unexpected: z.array(z.string()),
   }),
   /** Reports that the sender gives no more orders to the engines of a service. */
   z.object({
--- a/src/peers/peer_network.ts
+++ b/src/peers/peer_network.ts
@@ -31,14 +31,22 @@
   maximumMessageBytes?: number;
   /** Maximum number of unsent bytes per peer. @default 33554432 */
   maximumQueuedBytes?: number;
+  /**
+   * Number of unsent bytes from which a peer gets no more state that a later
+   * message replaces. @default 65536
+   */
+  maximumStateQueueBytes?: number;
   /** Called with the bytes of each message, over all receivers. */
   onSent?: (kind: PeerMessage['kind'], bytes: number) => void;
+  /** Called for each message that a peer with too many unsent bytes did not get. */
+  onSkipped?: (kind: PeerMessage['kind']) => void;
 }
 
 const DEFAULT_RECONNECT_MILLISECONDS = 500;
 const DEFAULT_IDLE_TIMEOUT_MILLISECONDS = 2500;
 const DEFAULT_MAXIMUM_MESSAGE_BYTES = 16 * 1024 * 1024;
 const DEFAULT_MAXIMUM_QUEUED_BYTES = 32 * 1024 * 1024;
+const DEFAULT_MAXIMUM_STATE_QUEUE_BYTES = 64 * 1024;
 
 /**
  * WebSocket connections to all other hosts. One task per known address keeps a
@@ -121,12 +129,30 @@
     this.sendToAll(this.connectionsByHost.keys(), message);
   }
 
+  /**
+   * Sends state that a later message replaces. A peer with many unsent bytes does not
+   * get it, since old state would delay what follows on a slow link.
+   */
+  sendState(hostIds: Iterable<string>, message: PeerMessage): void {
+    const limit =
+      this.options.maximumStateQueueBytes ?? DEFAULT_MAXIMUM_STATE_QUEUE_BYTES;
+    const connections = this.connectionsTo(hostIds);
+    const ready = connections.filter(({queuedBytes}) => queuedBytes <= limit);
+    if (ready.length > 0) this.sendEncoded(ready, message);
+    for (let skipped = ready.length; skipped < connections.length; skipped++)
+      this.options.onSkipped?.(message.kind);
+  }
+
   /** Queues a message, encoded once, for those of the hosts that are connected. */
   sendToAll(hostIds: Iterable<string>, message: PeerMessage): void {
-    const connections = [...hostIds].flatMap(
+    const connections = this.connectionsTo(hostIds);
+    if (connections.length > 0) this.sendEncoded(connections, message);
+  }
+
+  private connectionsTo(hostIds: Iterable<string>): readonly PeerConnection[] {
+    return [...hostIds].flatMap(
       hostId => newestConnection(this.connectionsByHost.get(hostId)) ?? [],
     );
-    if (connections.length > 0) this.sendEncoded(connections, message);
   }
 
   /** Bytes of messages to all peers that are not sent yet. */
--- a/src/testing/exchange_fleet.ts
+++ b/src/testing/exchange_fleet.ts
@@ -5,7 +5,7 @@
   type ArrivalCount,
   Endpoint,
   FleetLoad,
-  type LoadReport,
+  type WaitingCount,
 } from '../fleet/mod.ts';
 import {SILENT_LOGGER} from '../observability/mod.ts';
 import {
@@ -30,7 +30,7 @@
 
 /** A target that requests of a host wait for. */
 export interface SimulatedDemand {
-  readonly get: () => LoadReport['waiting'][number];
+  readonly get: () => WaitingCount;
 }
 
 /** A host of an {@link ExchangeFleet}; tests change its demand and requests. */
@@ -66,14 +66,15 @@
         [...all()].filter(({record}) => record.service === service),
       recordLeaving: () => false,
     };
-    this.replicas = new ReplicaMap({registry, clock});
+    const {incarnation} = identity;
+    this.replicas = new ReplicaMap({registry, incarnation, clock});
     this.load = new FleetLoad({
       clock,
-      localReport: () => this.exchange.ownReport(),
-      localArrivals: () => [...this.arrivals.values()],
+      localLoad: () => this.exchange.ownLoad(),
     });
     this.exchange = new FleetStateExchange({
       peers: {
+        self: identity,
         broadcast: message => this.sendToAll(this.peers.keys(), message),
         connectedPeers: () =>
           [...this.peers.values()].map(host => host.identity),
@@ -89,6 +90,7 @@
           this.sendToAll([hostId], message);
           return this.peers.has(hostId);
         },
+        sendState: (hostIds, message) => this.sendToAll(hostIds, message),
         sendToAll: (hostIds, message) => this.sendToAll(hostIds, message),
       },
       clock,
--- a/src/testing/pool_traffic.ts
+++ b/src/testing/pool_traffic.ts
@@ -1,7 +1,7 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import type {EndpointRecord} from '../deployment/mod.ts';
-import type {ReplicaAnnouncement} from '../engines/mod.ts';
+import type {ReplicaState} from '../engines/mod.ts';
 import type {ExchangeFleet, ExchangeHost} from './exchange_fleet.ts';
 
 /** Options of {@link PoolTraffic}. */
@@ -12,7 +12,7 @@
   loadsPerSecond: number;
   seed: number;
   /** Announces the complete state of the pool as its manager. */
-  announce: (complete: ReplicaAnnouncement) => void;
+  announce: (complete: ReplicaState) => void;
 }
 
 const STEP_MILLISECONDS = 10;
@@ -127,11 +127,12 @@
       requests: 1,
       timely: 1,
       priority: 1,
+      isHeld: true,
       waitedMilliseconds: clock.monotonicMilliseconds() - since,
     });
     const demand = {get: entry};
     host.demands.add(demand);
-    host.exchange.reportSoon();
+    host.exchange.reportDemandSoon();
     this.after(LOAD_MILLISECONDS, () => {
       host.demands.delete(demand);
       this.awaited.delete(model);
