--- a/src/testing/platform_deployment.ts
+++ b/src/testing/platform_deployment.ts
@@ -12,6 +12,8 @@
   burst?: number;
   models?: readonly string[];
   timeoutMilliseconds?: number;
+  /** Connections of each endpoint, from all hosts. @default 100 */
+  connectionLimit?: number;
 }
 
 /** A configuration as the operator writes it, with one service of each kind. */
@@ -76,11 +78,15 @@
       },
     ],
     services: [
-      {name: 'plain', health_path: '/health', connection_limit: 100},
+      {
+        name: 'plain',
+        health_path: '/health',
+        connection_limit: options.connectionLimit ?? 100,
+      },
       {
         name: 'engines',
         health_path: '/health',
-        connection_limit: 100,
+        connection_limit: options.connectionLimit ?? 100,
         engine: {
           slots: 4,
           kv_cache_tokens: 10_000,
--- a/src/testing/platform_endpoint_stand_in.ts
+++ b/src/testing/platform_endpoint_stand_in.ts
@@ -37,11 +37,16 @@
   | 'hangs'
   /** Sends the first event of a stream and no end. */
   | 'stalls'
+  /** Sends a stream without an end as fast as it is read. */
+  | 'floods'
   /** Ends the body without a length and with a reset. */
   | 'unframed_reset'
   /** Ends the body without a length and in the middle. */
   | 'unframed_end';
 
+/** Size of the events of a stream without an end. */
+const FLOOD_EVENT_BYTES = 64 * 1024;
+
 /** A request that an endpoint has run. */
 export interface SeenRequest {
   readonly method: string;
@@ -286,6 +291,10 @@
       case 'stalls':
         response.writeHead(200, own).write('id: 1\ndata: event 1\n\n');
         return;
+      case 'floods':
+        response.writeHead(200, own);
+        this.flood(response);
+        return;
       case 'loses_answer':
         request.socket.destroy();
         return;
@@ -341,6 +350,13 @@
     }
   }
 
+  private flood(response: ServerResponse): void {
+    if (response.closed) return;
+    const event = `data: ${'x'.repeat(FLOOD_EVENT_BYTES)}\n\n`;
+    if (response.write(event)) setImmediate(() => this.flood(response));
+    else response.once('drain', () => this.flood(response));
+  }
+
   private stream(
     request: IncomingMessage,
     response: ServerResponse,
