Send no request to an endpoint that cannot finish it in time

Cause: a request was sent whatever time was left to it.

A request whose time is shorter than nearly all runs, or whose host stops before nearly all runs have ended, is refused without a run (503 with Retry-After), at its arrival, in its wait for a model and before each attempt.

--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -15,6 +15,7 @@
   type WaitingCount,
 } from '../fleet/mod.ts';
 import {
+  type DispatchWindow,
   drainingError,
   type EndpointPreference,
   type EndpointSource,
@@ -34,6 +35,8 @@
   replicas: ReplicaMap;
   limits: EndpointLimits;
   permits: PermitBroker;
+  /** Until when requests are sent to endpoints. */
+  dispatchWindow: DispatchWindow;
   /** Tells all hosts that a process has said in a response that it leaves. */
   announceLeaving: (incarnation: string) => void;
   clock: Clock;
@@ -82,8 +85,6 @@
   private readonly waiters = new Map<string, Set<Waiter>>();
   private readonly refused = new Map<string, RefusedDemand>();
   private readonly arrivals = new Map<string, ArrivalCount>();
-  /** Monotonic time after which no request waits for a load. */
-  private waitsEndAt = Number.POSITIVE_INFINITY;
 
   constructor(private readonly options: EndpointRouterOptions) {
     this.limited = new LimitedEndpoints(options);
@@ -158,18 +159,6 @@
     }
   }
 
-  /**
-   * Ends all waits for loads at a time, since the host stops and could not finish
-   * the requests. Requests whose model is known to be ready only later are refused
-   * at once, so that their callers go to another host while they have time left.
-   *
-   * @param at Monotonic time.
-   */
-  endWaitsAt(at: number): void {
-    this.waitsEndAt = at;
-    this.recheckWaiting();
-  }
-
   noteResponse(endpoint: Endpoint, response: NotedResponse): void {
     this.limited.observe(endpoint, response);
   }
@@ -304,6 +293,7 @@
     const {clock, replicas, onDemandChanged} = this.options;
     const now = clock.monotonicMilliseconds();
     const deadline = this.waitDeadline(request);
+    const {route} = request;
     const service = request.service.name;
     const model = request.metadata.model ?? target;
     const hasReplica = Number.isFinite(roomAt);
@@ -313,7 +303,7 @@
       : (expectedAt ?? replicas.remoteReadyAt(service, model) ?? now);
     const isAwaitable = !hasReplica || expectedAt !== undefined;
     if (now < deadline && readyAt < deadline && isAwaitable) return undefined;
-    if (deadline === this.waitsEndAt) {
+    if (deadline === this.options.dispatchWindow.hostLimit(route.name)) {
       return failure(drainingError(REQUEST_STEPS.place));
     }
     const retryAfter = hasReplica
@@ -336,12 +326,13 @@
     );
   }
 
-  private waitDeadline(request: RoutedRequest): number {
-    const callerTimeout = request.route.callerTimeoutMilliseconds;
+  /** Monotonic time until which a request may wait for an endpoint. */
+  private waitDeadline({route, arrivedAt, deadlineAt}: RoutedRequest): number {
+    const {dispatchWindow} = this.options;
     return Math.min(
-      request.deadlineAt,
-      request.arrivedAt + callerTimeout * MAXIMUM_WAIT_SHARE,
-      this.waitsEndAt,
+      dispatchWindow.deadlineLimit(route.name, deadlineAt),
+      arrivedAt + route.callerTimeoutMilliseconds * MAXIMUM_WAIT_SHARE,
+      dispatchWindow.hostLimit(route.name),
     );
   }
 
--- a/src/engines/removed_model_test.ts
+++ b/src/engines/removed_model_test.ts
@@ -2,7 +2,11 @@
 import type {ServiceConfiguration} from '../deployment/mod.ts';
 import {EndpointRegistry} from '../fleet/mod.ts';
 import {SILENT_LOGGER} from '../observability/mod.ts';
-import type {RoutedRequest} from '../relay/mod.ts';
+import {
+  DispatchWindow,
+  type RoutedRequest,
+  RunDurations,
+} from '../relay/mod.ts';
 import {EndpointLimits, PermitBroker} from '../permits/mod.ts';
 import {ManualClock} from '../testing/manual_clock.ts';
 import {EndpointRouter, ReplicaMap} from './mod.ts';
@@ -111,6 +115,7 @@
         send: () => false,
         random: () => 0,
       }),
+      dispatchWindow: new DispatchWindow(new RunDurations()),
       clock,
       dataCentre: 'zone-a',
       announceLeaving: () => undefined,
--- /dev/null
+++ b/src/entry/_bind_requests.ts
@@ -0,0 +1,160 @@
+import type {Container} from 'inversify';
+import {EndpointRouter, ReplicaMap} from '../engines/mod.ts';
+import {isConnectionRefused} from '../exchange/mod.ts';
+import {EndpointRegistry, FleetShares, FleetTopology} from '../fleet/mod.ts';
+import {FleetRateLimiter} from '../limits/mod.ts';
+import {Metrics} from '../observability/mod.ts';
+import type {PeerIdentity} from '../peers/mod.ts';
+import {EndpointLimits, PermitBroker} from '../permits/mod.ts';
+import {
+  CrashEvidence,
+  CrashTracker,
+  DispatchWindow,
+  FleetRetryBudget,
+  PromptPartQuarantine,
+  RequestRelay,
+  RunDurations,
+} from '../relay/mod.ts';
+import {ConfigurationSource} from './configuration_source.ts';
+import type {EntryContext} from './entry_container.ts';
+import {EntryListeners} from './entry_listeners.ts';
+import {EntryState} from './entry_state.ts';
+import {FleetStateExchange} from './fleet_state_exchange.ts';
+import {PoolSupervisor} from './pool_supervisor.ts';
+
+/** Time-out of the connection that shows whether an endpoint has ended. */
+const CRASH_CHECK_MILLISECONDS = 300;
+
+/** Binds the path of callers' requests. */
+export function bindRequests(
+  container: Container,
+  context: EntryContext,
+  self: PeerIdentity,
+): void {
+  const {clock, logger, platform, settings} = context;
+  const runDurations = new RunDurations();
+  container
+    .bind(DispatchWindow)
+    .toConstantValue(new DispatchWindow(runDurations));
+  container.bind(ReplicaMap).toDynamicValue(
+    () =>
+      new ReplicaMap({
+        registry: container.get(EndpointRegistry),
+        incarnation: self.incarnation,
+        clock,
+      }),
+  );
+  container.bind(EndpointRouter).toDynamicValue(
+    () =>
+      new EndpointRouter({
+        registry: container.get(EndpointRegistry),
+        replicas: container.get(ReplicaMap),
+        limits: container.get(EndpointLimits),
+        permits: container.get(PermitBroker),
+        dispatchWindow: container.get(DispatchWindow),
+        announceLeaving: incarnation =>
+          container
+            .get(FleetStateExchange)
+            .announce({kind: 'endpoint_leaving', incarnation}),
+        clock,
+        dataCentre: settings.dataCentre,
+        service: name =>
+          container
+            .get(ConfigurationSource)
+            .index?.configuration.services.get(name),
+        onDemandChanged: () => {
+          container.get(FleetStateExchange).reportDemandSoon();
+          container.get(PoolSupervisor).notify();
+        },
+      }),
+  );
+  const shares = () => container.get(FleetShares);
+  container.bind(FleetRateLimiter).toDynamicValue(
+    () =>
+      new FleetRateLimiter({
+        clock,
+        rateShare: () => shares().ofKnownSpending(),
+        startsFull: settings.isFirstStart,
+      }),
+  );
+  container.bind(CrashTracker).toDynamicValue(
+    () =>
+      new CrashTracker({
+        clock,
+        broadcast: (fingerprint, incarnation) =>
+          container.get(FleetStateExchange).announce({
+            kind: 'request_broke_endpoint',
+            fingerprint,
+            incarnation,
+          }),
+      }),
+  );
+  container.bind(CrashEvidence).toDynamicValue(
+    () =>
+      new CrashEvidence({
+        clock,
+        isConnectionRefused: address =>
+          isConnectionRefused(address, CRASH_CHECK_MILLISECONDS),
+        isReplaced: ({record, incarnation}) => {
+          const current = container.get(EndpointRegistry).find(record.id);
+          return current !== undefined && current.incarnation !== incarnation;
+        },
+      }),
+  );
+  container.bind(PromptPartQuarantine).toDynamicValue(
+    () =>
+      new PromptPartQuarantine({
+        hostId: settings.hostId,
+        clock,
+        logger,
+        metrics: container.get(Metrics),
+        hasCrashed: endpoint =>
+          container.get(CrashEvidence).hasCrashed(endpoint),
+        announce: (service, change) =>
+          container
+            .get(FleetStateExchange)
+            .announce({kind: 'prompt_part', service, change}),
+      }),
+  );
+  container.bind(RequestRelay).toDynamicValue(
+    () =>
+      new RequestRelay({
+        clock,
+        logger,
+        metrics: container.get(Metrics),
+        wireFormat: platform.wireFormat,
+        routes: () => container.get(ConfigurationSource).index,
+        endpoints: container.get(EndpointRouter),
+        rateLimiter: container.get(FleetRateLimiter),
+        retryBudget: new FleetRetryBudget({
+          clock,
+          ratio: settings.retries.ratio,
+          slack: settings.retries.slack,
+          windowMilliseconds: settings.retries.windowSeconds * 1000,
+          share: () => shares().ofBudget(),
+        }),
+        crashGuard: container.get(CrashTracker),
+        promptParts: container.get(PromptPartQuarantine),
+        isDraining: () => container.get(EntryState).isDraining,
+        runDurations,
+        dispatchWindow: container.get(DispatchWindow),
+        random: Math.random,
+      }),
+  );
+  container.bind(EntryListeners).toDynamicValue(
+    () =>
+      new EntryListeners({
+        settings,
+        platform,
+        clock,
+        logger,
+        relay: container.get(RequestRelay),
+        topology: container.get(FleetTopology),
+        metrics: container.get(Metrics),
+        promptParts: container.get(PromptPartQuarantine),
+        isReady: () =>
+          !container.get(EntryState).isDraining &&
+          container.get(ConfigurationSource).index !== undefined,
+      }),
+  );
+}
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -26,6 +26,7 @@
 import {StoreClock} from '../stores/mod.ts';
 import type {Clock} from '../time/mod.ts';
 import {bindPermits} from './_bind_permits.ts';
+import {bindRequests} from './_bind_requests.ts';
 import {ConfigurationSource} from './configuration_source.ts';
 import {createIdentity, hostRow} from './_host_identity.ts';
 import {EntryListeners} from './entry_listeners.ts';
@@ -53,9 +54,6 @@
 /** Fraction of an endpoint's connection limit that all hosts use together. */
 const CONNECTION_FRACTION = 0.8;
 
-/** Time-out of the connection that shows whether an endpoint has ended. */
-const CRASH_CHECK_MILLISECONDS = 300;
-
 /** Creates the dependency injection container of an entry host. */
 export function createEntryContainer(context: EntryContext): Container {
   const container = new Container({defaultScope: 'Singleton'});
@@ -182,135 +180,6 @@
   return Math.max(2, Math.floor(limit * share));
 }
 
-function bindRequests(
-  container: Container,
-  context: EntryContext,
-  self: PeerIdentity,
-): void {
-  const {clock, logger, platform, settings} = context;
-  container.bind(ReplicaMap).toDynamicValue(
-    () =>
-      new ReplicaMap({
-        registry: container.get(EndpointRegistry),
-        incarnation: self.incarnation,
-        clock,
-      }),
-  );
-  container.bind(EndpointRouter).toDynamicValue(
-    () =>
-      new EndpointRouter({
-        registry: container.get(EndpointRegistry),
-        replicas: container.get(ReplicaMap),
-        limits: container.get(EndpointLimits),
-        permits: container.get(PermitBroker),
-        announceLeaving: incarnation =>
-          container
-            .get(FleetStateExchange)
-            .announce({kind: 'endpoint_leaving', incarnation}),
-        clock,
-        dataCentre: settings.dataCentre,
-        service: name =>
-          container
-            .get(ConfigurationSource)
-            .index?.configuration.services.get(name),
-        onDemandChanged: () => {
-          container.get(FleetStateExchange).reportDemandSoon();
-          container.get(PoolSupervisor).notify();
-        },
-      }),
-  );
-  const shares = () => container.get(FleetShares);
-  container.bind(FleetRateLimiter).toDynamicValue(
-    () =>
-      new FleetRateLimiter({
-        clock,
-        rateShare: () => shares().ofKnownSpending(),
-        startsFull: settings.isFirstStart,
-      }),
-  );
-  container.bind(CrashTracker).toDynamicValue(
-    () =>
-      new CrashTracker({
-        clock,
-        broadcast: (fingerprint, incarnation) =>
-          container.get(FleetStateExchange).announce({
-            kind: 'request_broke_endpoint',
-            fingerprint,
-            incarnation,
-          }),
-      }),
-  );
-  container.bind(CrashEvidence).toDynamicValue(
-    () =>
-      new CrashEvidence({
-        clock,
-        isConnectionRefused: address =>
-          isConnectionRefused(address, CRASH_CHECK_MILLISECONDS),
-        isReplaced: ({record, incarnation}) => {
-          const current = container.get(EndpointRegistry).find(record.id);
-          return current !== undefined && current.incarnation !== incarnation;
-        },
-      }),
-  );
-  container.bind(PromptPartQuarantine).toDynamicValue(
-    () =>
-      new PromptPartQuarantine({
-        hostId: settings.hostId,
-        clock,
-        logger,
-        metrics: container.get(Metrics),
-        hasCrashed: endpoint =>
-          container.get(CrashEvidence).hasCrashed(endpoint),
-        announce: (service, change) =>
-          container
-            .get(FleetStateExchange)
-            .announce({kind: 'prompt_part', service, change}),
-      }),
-  );
-  container.bind(RequestRelay).toDynamicValue(
-    () =>
-      new RequestRelay({
-        clock,
-        logger,
-        metrics: container.get(Metrics),
-        wireFormat: platform.wireFormat,
-        routes: () => container.get(ConfigurationSource).index,
-        endpoints: container.get(EndpointRouter),
-        rateLimiter: container.get(FleetRateLimiter),
-        retryBudget: new FleetRetryBudget({
-          clock,
-          ratio: settings.retries.ratio,
-          slack: settings.retries.slack,
-          windowMilliseconds: settings.retries.windowSeconds * 1000,
-          share: () => shares().ofBudget(),
-        }),
-        crashGuard: container.get(CrashTracker),
-        promptParts: container.get(PromptPartQuarantine),
-        isDraining: () => container.get(EntryState).isDraining,
-        refusesNewRequests: () =>
-          clock.monotonicMilliseconds() >=
-          container.get(EntryState).dispatchEndsAt,
-        random: Math.random,
-      }),
-  );
-  container.bind(EntryListeners).toDynamicValue(
-    () =>
-      new EntryListeners({
-        settings,
-        platform,
-        clock,
-        logger,
-        relay: container.get(RequestRelay),
-        topology: container.get(FleetTopology),
-        metrics: container.get(Metrics),
-        promptParts: container.get(PromptPartQuarantine),
-        isReady: () =>
-          !container.get(EntryState).isDraining &&
-          container.get(ConfigurationSource).index !== undefined,
-      }),
-  );
-}
-
 function bindStore(
   container: Container,
   context: EntryContext,
--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -8,7 +8,7 @@
 } from '../fleet/mod.ts';
 import {EventLoopMonitor} from '../observability/mod.ts';
 import {PeerNetwork} from '../peers/mod.ts';
-import {RequestRelay} from '../relay/mod.ts';
+import {DispatchWindow, RequestRelay} from '../relay/mod.ts';
 import {sleep} from '../time/mod.ts';
 import {createEntryContainer, type EntryContext} from './entry_container.ts';
 import {EntryListeners} from './entry_listeners.ts';
@@ -93,8 +93,12 @@
       grace * DISPATCH_FRACTION,
       staleAddressMilliseconds,
     );
-    state.dispatchEndsAt = startedAt + dispatchMilliseconds;
-    this.container.get(EndpointRouter).endWaitsAt(state.dispatchEndsAt);
+    const dispatchWindow = this.container.get(DispatchWindow);
+    dispatchWindow.close({
+      closesAt: startedAt + dispatchMilliseconds,
+      runsEndAt: startedAt + grace - closingMilliseconds,
+    });
+    this.container.get(EndpointRouter).recheckWaiting();
     void registration.register();
     this.container.get(FleetStateExchange).report();
     void this.container.get(PoolSupervisor).stop();
@@ -106,7 +110,8 @@
     if (relay.openRequestCount > 0) {
       logger.event('drainTimedOut', {open: relay.openRequestCount});
     }
-    state.dispatchEndsAt = clock.monotonicMilliseconds();
+    const now = clock.monotonicMilliseconds();
+    dispatchWindow.close({closesAt: now, runsEndAt: now});
     relay.endUnansweredRequests();
     await Promise.all([
       Promise.race([
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -4,12 +4,7 @@
   type RequestError,
   unreachable,
 } from '../errors/mod.ts';
-import {
-  discardResponse,
-  type EndpointResponse,
-  sendToEndpoint,
-  type SendOutcome,
-} from '../exchange/mod.ts';
+import {discardResponse, type EndpointResponse} from '../exchange/mod.ts';
 import type {Endpoint} from '../fleet/mod.ts';
 import type {AttemptContext} from './_attempt_context.ts';
 import type {AttemptOutcome} from './_attempt_outcome.ts';
@@ -19,22 +14,20 @@
 import {EventSplitter} from './_event_splitter.ts';
 import {failureCode} from './_failure_code.ts';
 import {findMismatch} from './_find_mismatch.ts';
+import {findTooLate} from './_find_too_late.ts';
 import {
   HOLD_SHARE,
   MAXIMUM_DISPATCHES,
   mayRunAgain,
   NOT_EXECUTED_STATUSES,
-  responseTimeout,
 } from './_retry_rules.ts';
+import {sendAttempt} from './_send_attempt.ts';
 import {streamResponse} from './_stream_response.ts';
 import {writeResponseHead} from './_write_response_head.ts';
 import {targetOf} from './endpoint_source.ts';
 import type {PromptPartRun} from './prompt_part_guard.ts';
 import type {RequestRelayOptions} from './relay_options.ts';
 
-/** Connect time-out; the network latency to endpoints is a few milliseconds. */
-const CONNECT_TIMEOUT_MILLISECONDS = 500;
-
 /** Sends a request to endpoints until one responds or no retry is allowed. */
 export class AttemptLoop {
   private readonly excluded = new Set<string>();
@@ -111,14 +104,16 @@
         return undefined;
       }
       if (run === undefined) continue;
+      const tooLate = findTooLate(request, this.options);
+      if (tooLate !== undefined) {
+        run.end();
+        return this.refuse(tooLate);
+      }
       const outcome = await this.attempt(acquired.value, run);
       if (outcome.kind === 'delivered' || callerLeft.aborted) return undefined;
       if (outcome.kind === 'broken' || !outcome.mayRetrySameEndpoint) {
         this.excluded.add(acquired.value.incarnation);
       }
-      if (this.runCount === 0 && this.options.refusesNewRequests()) {
-        return drainingError(REQUEST_STEPS.dispatch);
-      }
       if (!this.mayRetry(outcome.kind)) return this.giveUp(outcome);
       if (this.splitter.lastEventId !== undefined) {
         log.streamResumed(this.splitter.lastEventId);
@@ -182,7 +177,9 @@
       if (isDisconnected && !this.hasBegun && !this.isAborted) {
         await run.recordBroken();
       }
-      if (outcome.kind !== 'delivered') {
+      if (outcome.kind === 'delivered') {
+        this.recordDuration();
+      } else {
         if (outcome.kind === 'broken') this.runCount++;
         this.context.log.attemptFailed({
           reason: outcome.reason,
@@ -202,7 +199,13 @@
     endpoint: Endpoint,
     run: PromptPartRun,
   ): Promise<AttemptOutcome> {
-    const sent = await this.send(endpoint);
+    const sent = await sendAttempt(this.options, this.context, {
+      endpoint,
+      lastEventId: this.splitter.lastEventId,
+      usesNewConnection: this.sentTo.has(endpoint.incarnation),
+      runCount: this.runCount,
+      signal: this.abortController.signal,
+    });
     const {condition} = endpoint;
     switch (sent.kind) {
       case 'unsent':
@@ -232,35 +235,6 @@
     }
   }
 
-  private send(endpoint: Endpoint): Promise<SendOutcome> {
-    const {request, method, path, rawHeaders, body} = this.context;
-    const remaining = this.remaining();
-    return sendToEndpoint({
-      address: endpoint.record.address,
-      method,
-      path,
-      headers: this.options.wireFormat.requestHeaders(rawHeaders, body.length, {
-        endpointId: endpoint.record.id,
-        deadlineMilliseconds: remaining,
-        team: request.team,
-        priority:
-          request.service.engines === undefined ? undefined : request.priority,
-        lastEventId: this.splitter.lastEventId ?? request.metadata.lastEventId,
-      }),
-      body,
-      agent: endpoint.agent,
-      // A repeated rejection of an earlier dispatch has the same request id.
-      usesNewConnection: this.sentTo.has(endpoint.incarnation),
-      connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
-      responseTimeoutMilliseconds: responseTimeout(
-        request.route,
-        this.runCount,
-        remaining,
-      ),
-      signal: this.abortController.signal,
-    });
-  }
-
   private async handleResponse(
     endpoint: Endpoint,
     endpointResponse: EndpointResponse,
@@ -374,6 +348,14 @@
     return {kind: 'broken', reason: 'stream broke off', isDisconnected: true};
   }
 
+  /** Records how long a run took; runs that failed tell nothing of others. */
+  private recordDuration(): void {
+    const {clock, runDurations} = this.options;
+    if (this.context.response.statusCode >= 300) return;
+    const took = clock.monotonicMilliseconds() - this.sentAt;
+    runDurations.record(this.context.request.route.name, took);
+  }
+
   private recordBegun(run: PromptPartRun): void {
     this.hasBegun = true;
     run.recordBegun();
--- /dev/null
+++ b/src/relay/_find_too_late.ts
@@ -0,0 +1,38 @@
+import {
+  REQUEST_ERROR_CODES,
+  REQUEST_STEPS,
+  type RequestError,
+} from '../errors/mod.ts';
+import {dispatchError} from './_dispatch_error.ts';
+import {drainingError} from './draining_error.ts';
+import type {RoutedRequest} from './endpoint_source.ts';
+import type {RequestRelayOptions} from './relay_options.ts';
+
+/** Retry-After of a request that came too close to its deadline. */
+const TOO_LATE_RETRY_MILLISECONDS = 500;
+
+/**
+ * Error of a request that must not be sent to an endpoint any more, because its run
+ * would be for nothing or be cut when this host stops; undefined if it may be sent.
+ */
+export function findTooLate(
+  {route, deadlineAt}: RoutedRequest,
+  {
+    clock,
+    dispatchWindow,
+  }: Pick<RequestRelayOptions, 'clock' | 'dispatchWindow'>,
+): RequestError | undefined {
+  const now = clock.monotonicMilliseconds();
+  if (now >= dispatchWindow.hostLimit(route.name))
+    return drainingError(REQUEST_STEPS.dispatch);
+  if (now < dispatchWindow.deadlineLimit(route.name, deadlineAt))
+    return undefined;
+  return {
+    ...dispatchError(
+      REQUEST_ERROR_CODES.overloaded,
+      'No endpoint can finish the request before its deadline',
+      true,
+    ),
+    retryAfterMilliseconds: TOO_LATE_RETRY_MILLISECONDS,
+  };
+}
--- a/src/relay/mod.ts
+++ b/src/relay/mod.ts
@@ -48,3 +48,5 @@
   FleetRetryBudget,
   type FleetRetryBudgetOptions,
 } from './fleet_retry_budget.ts';
+export {DispatchWindow, type DispatchWindowEnd} from './dispatch_window.ts';
+export {RunDurations} from './run_durations.ts';
--- a/src/relay/relay_options.ts
+++ b/src/relay/relay_options.ts
@@ -1,6 +1,8 @@
 import type {RouteIndex, TeamConfiguration} from '../deployment/mod.ts';
 import type {EventLogger, Metrics} from '../observability/mod.ts';
 import type {Clock} from '../time/mod.ts';
+import type {DispatchWindow} from './dispatch_window.ts';
+import type {RunDurations} from './run_durations.ts';
 import type {WireFormat} from './wire_format.ts';
 import type {PromptPartGuard} from './prompt_part_guard.ts';
 import type {EndpointSource} from './endpoint_source.ts';
@@ -46,8 +48,9 @@
   promptParts: PromptPartGuard;
   /** Whether connections are closed after their response. */
   isDraining: () => boolean;
-  /** Whether new requests are refused because the host is about to stop. */
-  refusesNewRequests: () => boolean;
+  /** Until when requests are sent to endpoints. */
+  dispatchWindow: DispatchWindow;
+  runDurations: RunDurations;
   /** Returns a number in [0, 1). */
   random: () => number;
 }
--- a/src/relay/request_relay.ts
+++ b/src/relay/request_relay.ts
@@ -133,9 +133,12 @@
     log.configurationVersion = current.configuration.version;
     const admitted = this.admit(request, current, context);
     if ('code' in admitted) return admitted;
-    if (this.options.refusesNewRequests()) {
+    const {clock, dispatchWindow} = this.options;
+    if (
+      clock.monotonicMilliseconds() >=
+      dispatchWindow.hostLimit(admitted.route.name)
+    )
       return drainingError(REQUEST_STEPS.admit);
-    }
     const loop = new AttemptLoop(this.options, {
       request: admitted,
       method: request.method ?? 'GET',
--- a/src/testing/platform_endpoint_stand_in.ts
+++ b/src/testing/platform_endpoint_stand_in.ts
@@ -73,6 +73,8 @@
   trouble: EndpointTrouble = 'none';
   /** Body of the answers that are no streams. */
   answerBody = 'the whole answer';
+  /** Time that a run takes. */
+  runMilliseconds = 0;
   /** Delay before an answer that says that the request did not run. */
   shedMilliseconds = 0;
   /** Answers with which the trouble stops; unlimited when undefined. */
@@ -264,7 +266,10 @@
       response.writeHead(503, head).end();
       return;
     }
-    this.respond(request, response, trouble, target !== '');
+    setTimeout(
+      () => this.respond(request, response, trouble, target !== ''),
+      this.runMilliseconds,
+    );
   }
 
   private respond(
