--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -7,7 +7,6 @@
   FleetTopology,
   HostRegistry,
 } from '../fleet/mod.ts';
-import {isConnectionRefused} from '../exchange/mod.ts';
 import {FleetRateLimiter} from '../limits/mod.ts';
 import {
   EventLoopMonitor,
@@ -15,13 +14,7 @@
   Metrics,
 } from '../observability/mod.ts';
 import {type PeerIdentity, PeerNetwork} from '../peers/mod.ts';
-import {
-  CrashEvidence,
-  CrashTracker,
-  FleetRetryBudget,
-  PromptPartQuarantine,
-  RequestRelay,
-} from '../relay/mod.ts';
+import {CrashTracker, PromptPartQuarantine} from '../relay/mod.ts';
 import {EndpointLimits, PermitBroker} from '../permits/mod.ts';
 import {StoreClock} from '../stores/mod.ts';
 import type {Clock} from '../time/mod.ts';
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -10,7 +10,6 @@
 import type {AttemptOutcome} from './_attempt_outcome.ts';
 import {bufferResponse} from './_buffer_response.ts';
 import {dispatchError} from './_dispatch_error.ts';
-import {drainingError} from './draining_error.ts';
 import {EventSplitter} from './_event_splitter.ts';
 import {failureCode} from './_failure_code.ts';
 import {findMismatch} from './_find_mismatch.ts';
