Announce single changes of engines at once, and pace only many of them

Requests for an adapter, which loads in 5 to 10 ms, would have waited up to 100 ms for the announcement.

--- a/src/engines/replica_announcer.ts
+++ b/src/engines/replica_announcer.ts
@@ -66,8 +66,14 @@
  */
 const EXPECTATION_MILLISECONDS = 250;
 
-/** Minimum interval between announcements; engines may change many times a second. */
-const MINIMUM_INTERVAL_MILLISECONDS = 100;
+/** Mean interval of announcements while engines change many times a second. */
+const SUSTAINED_INTERVAL_MILLISECONDS = 100;
+
+/**
+ * Announcements that may follow each other without a pause. A request that waits for
+ * an adapter, which loads in milliseconds, is sent as soon as its host is told.
+ */
+const ANNOUNCEMENT_BURST = 5;
 
 /**
  * Change of the time at which a target is expected that is not announced. Much
@@ -84,6 +90,8 @@
 /** Announces what has changed in a pool since the last announcement. */
 export class ReplicaAnnouncer {
   private announcedAt = Number.NEGATIVE_INFINITY;
+  /** Time at which all announcements so far would have been sent at an even pace. */
+  private pacedAt = Number.NEGATIVE_INFINITY;
   private sequence = 0;
   private isComplete = true;
   private isDueScheduled = false;
@@ -116,7 +124,7 @@
 
   /**
    * Announces what has changed, or nothing but a sign of life when the interval is
-   * over. Changes that come too soon after the last announcement wait.
+   * over. Changes that come too soon after many others wait.
    */
   announce(state: ReplicaState): void {
     const now = this.options.clock.monotonicMilliseconds();
@@ -126,18 +134,20 @@
     const haveTargetsChanged = [expectations, models].some(
       ({changed, removed}) => changed.length > 0 || removed.length > 0,
     );
-    const interval =
-      engines.changed.length > 0
-        ? MINIMUM_INTERVAL_MILLISECONDS
-        : haveTargetsChanged
-          ? EXPECTATION_MILLISECONDS
-          : ANNOUNCEMENT_MILLISECONDS;
-    const dueIn = this.announcedAt + interval - now;
-    if (dueIn > 0) {
-      if (engines.changed.length > 0) this.scheduleDue(dueIn);
+    const areEnginesChanged = engines.changed.length > 0;
+    const interval = haveTargetsChanged
+      ? EXPECTATION_MILLISECONDS
+      : ANNOUNCEMENT_MILLISECONDS;
+    const dueAt = areEnginesChanged
+      ? this.pacedAt - ANNOUNCEMENT_BURST * SUSTAINED_INTERVAL_MILLISECONDS
+      : this.announcedAt + interval;
+    if (now < dueAt) {
+      if (areEnginesChanged) this.scheduleDue(dueAt - now);
       return;
     }
     this.announcedAt = now;
+    this.pacedAt =
+      Math.max(now, this.pacedAt) + SUSTAINED_INTERVAL_MILLISECONDS;
     this.engines.record(engines);
     this.expectations.record(expectations);
     this.remoteModels.record(models);
