Load models whose callers are refused again and again

Cause: a refused request leaves none behind that waits, so its model counted as one late request without any wait, in each placement round and for ever. It lost to every model with a waiting request, and it could evict nothing that was in use.

Now the manager remembers since when each model is asked for without a replica, also between the requests. After 5 s this counts as a wait, in the order of loads and in what may be evicted or fetched from the weight store for it.

--- a/src/engines/_demand_by_model.ts
+++ b/src/engines/_demand_by_model.ts
@@ -14,6 +14,8 @@
    * Whether an engine has a model loaded, so that only the adapter is missing.
    */
   readonly isLoaded: (model: string) => boolean;
+  /** Milliseconds for which a model has been asked for without a replica. */
+  readonly unmetOf: (model: string) => number;
 }
 
 /** Request rate below which a model without waiting requests has no demand. */
@@ -33,6 +35,7 @@
       waitingForAdapters: 0,
       priority: 9,
       waitedMilliseconds: 0,
+      unmetMilliseconds: 0,
       ratePerSecond,
     });
   }
@@ -50,6 +53,7 @@
         known?.waitedMilliseconds ?? 0,
         entry.waitedMilliseconds,
       ),
+      unmetMilliseconds: input.unmetOf(model),
       ratePerSecond: known?.ratePerSecond ?? 0,
     });
   }
--- a/src/engines/_placement_plan.ts
+++ b/src/engines/_placement_plan.ts
@@ -1,6 +1,6 @@
 import type {ModelConfiguration} from '../deployment/mod.ts';
 import {takesRequestsOf} from './_takes_requests_of.ts';
-import {loadBenefit} from './load_benefit.ts';
+import {effectiveWait, loadBenefit} from './load_benefit.ts';
 import {expectedLoadMilliseconds, nearestTier} from './load_tier.ts';
 import type {PlacementInput} from './plan_placement.ts';
 import type {EngineSnapshot} from './engine_snapshot.ts';
@@ -226,7 +226,7 @@
   ): {models: string[]; cost: number; wait: number} | undefined {
     let free = this.input.pool.weightsMegabytes - this.usedMegabytes(engine);
     const result = {models: [] as string[], cost: 0, wait: 0};
-    const waited = this.input.demand.get(model.name)?.waitedMilliseconds ?? 0;
+    const waited = this.waitOf(model.name);
     const mayEvictInUse =
       reason === 'waiting' && waited >= EVICT_IN_USE_AFTER_MILLISECONDS;
     const victims = [...engine.models]
@@ -333,7 +333,7 @@
 
   /** Whether to wait until another engine that has a local copy becomes available. */
   private shouldWaitForCopy({name}: ModelConfiguration): boolean {
-    const waited = this.input.demand.get(name)?.waitedMilliseconds ?? 0;
+    const waited = this.waitOf(name);
     const others = this.input.engines.filter(({models}) => !models.has(name));
     return (
       waited < IGNORE_COPY_AFTER_MILLISECONDS &&
@@ -347,6 +347,12 @@
     );
   }
 
+  /** Milliseconds for which requests for a model count as waiting. */
+  private waitOf(model: string): number {
+    const demand = this.input.demand.get(model);
+    return demand === undefined ? 0 : effectiveWait(demand);
+  }
+
   private replicasOf(model: string): number {
     return this.replicas.get(model) ?? 0;
   }
--- a/src/engines/forecast_loads_test.ts
+++ b/src/engines/forecast_loads_test.ts
@@ -53,6 +53,7 @@
         waitingForAdapters: 0,
         priority: 3,
         waitedMilliseconds: 0,
+        unmetMilliseconds: 0,
         ratePerSecond: 0.1,
       },
     ]),
--- a/src/engines/load_benefit_test.ts
+++ b/src/engines/load_benefit_test.ts
@@ -7,6 +7,7 @@
   waitingForAdapters: 0,
   priority: 1,
   waitedMilliseconds: 0,
+  unmetMilliseconds: 0,
   ratePerSecond: 0,
   ...more,
 });
--- a/src/engines/mod.ts
+++ b/src/engines/mod.ts
@@ -54,5 +54,6 @@
   ReplicaMap,
   type ReplicaMapOptions,
 } from './replica_map.ts';
+export {type DemandObservation, UnmetDemand} from './unmet_demand.ts';
 export {ReplicaAnnouncer} from './replica_announcer.ts';
 export type {EngineTargets, ReplicaState} from './replica_state.ts';
--- a/src/engines/model_demand.ts
+++ b/src/engines/model_demand.ts
@@ -12,6 +12,8 @@
   /** Priority of the most urgent waiting request; 0 is the most urgent. */
   readonly priority: number;
   readonly waitedMilliseconds: number;
+  /** Time for which the model has been asked for without a replica. */
+  readonly unmetMilliseconds: number;
   /** Requests a second, averaged over several seconds. */
   readonly ratePerSecond: number;
 }
--- a/src/engines/plan_placement_test.ts
+++ b/src/engines/plan_placement_test.ts
@@ -57,6 +57,7 @@
   waitingForAdapters: 0,
   priority: 1,
   waitedMilliseconds: 50,
+  unmetMilliseconds: 0,
   ratePerSecond: 0.1,
 });
 
@@ -66,6 +67,7 @@
   waitingForAdapters: 0,
   priority: 9,
   waitedMilliseconds: 0,
+  unmetMilliseconds: 0,
   ratePerSecond,
 });
 
--- a/src/engines/pool_manager.ts
+++ b/src/engines/pool_manager.ts
@@ -11,6 +11,7 @@
 import {demandByModel} from './_demand_by_model.ts';
 import {OrderDispatcher} from './_order_dispatcher.ts';
 import {snapshotEngines} from './_snapshot_engines.ts';
+import {splitTarget} from './_split_target.ts';
 import {ArrivalRates} from './arrival_rates.ts';
 import {EngineState, type PendingOrder} from './engine_state.ts';
 import type {EngineControl} from './engine_control.ts';
@@ -24,6 +25,7 @@
 import {RemoteLoadBudget} from './remote_load_budget.ts';
 import type {ReplicaAnnouncement} from './replica_map.ts';
 import type {ReplicaState} from './replica_state.ts';
+import {UnmetDemand} from './unmet_demand.ts';
 
 /** Options of {@link PoolManager}. */
 export interface PoolManagerOptions {
@@ -96,6 +98,7 @@
   private readonly stopping = new AbortController();
   private readonly engines = new Map<string, EngineState>();
   private readonly rates = new ArrivalRates();
+  private readonly unmet = new UnmetDemand();
   private readonly orders: OrderDispatcher;
   private readonly adapters: AdapterLoader;
   private readonly announcer: ReplicaAnnouncer;
@@ -178,11 +181,18 @@
     if (!lease.mayIssueOrders() || this.budget === undefined) return;
     const {load} = this.options;
     const inFlight = load.inFlight();
+    const waiting = load.waiting(service.name);
+    this.unmet.update({
+      awaited: waiting.map(({target}) => splitTarget(target).model),
+      isLoaded: model => this.isLoaded(model),
+      now,
+    });
     const demand = demandByModel({
       pool,
-      waiting: load.waiting(service.name),
+      waiting,
       rateOf: model => this.rates.of(model),
       isLoaded: model => this.isLoaded(model),
+      unmetOf: model => this.unmet.ageOf(model, now),
     });
     this.recheckHolders(demand, now);
     const engines = snapshotEngines(
@@ -218,7 +228,7 @@
     for (const planned of loads) void this.executeLoad(planned, pool);
     this.adapters.startLoads(
       [...this.engines.values()],
-      load.waiting(service.name),
+      waiting,
       inFlight,
       pool,
     );
@@ -226,6 +236,7 @@
 
   private endTerm(): void {
     this.engines.clear();
+    this.unmet.clear();
     this.announcer.reset();
     this.forecast = NO_FORECAST;
     this.epoch = undefined;
--- a/src/testing/engine_pool_simulation.ts
+++ b/src/testing/engine_pool_simulation.ts
@@ -247,6 +247,7 @@
           0,
           ...waiting.map(({arrivedAt}) => now - arrivedAt),
         ),
+        unmetMilliseconds: 0,
         ratePerSecond,
       });
     }
