Keep a model that was loaded for refused callers until they return

Now a host goes on reporting refused callers that are expected back while an engine has their model, until one of them is served or 2.5 s after the time that they were told. The manager does not evict such a model, and loads nothing more for it.

plan_placement_test.ts, 'a model whose refused callers are expected back is not evicted': failed without the count of returning callers, passes with it.

--- a/src/engines/_demand_by_model.ts
+++ b/src/engines/_demand_by_model.ts
@@ -33,6 +33,7 @@
       waiting: 0,
       timely: 0,
       waitingForAdapters: 0,
+      returning: 0,
       priority: 9,
       waitedMilliseconds: 0,
       unmetMilliseconds: 0,
@@ -43,11 +44,16 @@
     const {model, adapter} = splitTarget(entry.target);
     const known = demand.get(model);
     const isForAdapter = adapter !== undefined && input.isLoaded(model);
+    const isAwaited = !entry.isServable && !isForAdapter;
+    const isAdapterAwaited = !entry.isServable && isForAdapter;
     demand.set(model, {
-      waiting: (known?.waiting ?? 0) + (isForAdapter ? 0 : entry.requests),
-      timely: (known?.timely ?? 0) + (isForAdapter ? 0 : entry.timely),
+      waiting: (known?.waiting ?? 0) + (isAwaited ? entry.requests : 0),
+      timely: (known?.timely ?? 0) + (isAwaited ? entry.timely : 0),
       waitingForAdapters:
-        (known?.waitingForAdapters ?? 0) + (isForAdapter ? entry.requests : 0),
+        (known?.waitingForAdapters ?? 0) +
+        (isAdapterAwaited ? entry.requests : 0),
+      returning:
+        (known?.returning ?? 0) + (entry.isServable ? entry.requests : 0),
       priority: Math.min(known?.priority ?? 9, entry.priority),
       waitedMilliseconds: Math.max(
         known?.waitedMilliseconds ?? 0,
--- a/src/engines/_placement_plan.ts
+++ b/src/engines/_placement_plan.ts
@@ -257,10 +257,13 @@
     const isBusyModel = rate >= BUSY_RATE_PER_SECOND;
     const running = engine.inFlight.get(model) ?? 0;
     const isAwaited =
-      (demand?.waiting ?? 0) + (demand?.waitingForAdapters ?? 0) > 0;
+      (demand?.waiting ?? 0) +
+        (demand?.waitingForAdapters ?? 0) +
+        (demand?.returning ?? 0) >
+      0;
     return {
-      // Models that requests wait for, models loaded a moment ago, and required
-      // replicas of busy models are never evicted.
+      // Models that requests wait for or return for, models loaded a moment ago,
+      // and required replicas of busy models are never evicted.
       allowed:
         !isAwaited &&
         !engine.recentlyLoaded.has(model) &&
--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -129,7 +129,10 @@
           {endpoint: chosen, request, waitsUntil},
           signal,
         );
-        if (roomAt === undefined) return success(chosen);
+        if (roomAt === undefined) {
+          this.refused.delete(`${service.name} ${target}`);
+          return success(chosen);
+        }
         returnAt.set(chosen.incarnation, roomAt);
         continue;
       }
@@ -178,7 +181,7 @@
       const target = targetOf(request.metadata);
       const {service, priority} = request;
       const holders = this.options.replicas.holders(service.name, target);
-      if (holders.some(endpoint => this.limited.isOpen(endpoint))) return [];
+      const isServable = holders.some(holder => this.limited.isOpen(holder));
       // Nobody waits: age must not justify evictions or loads from the weight store.
       const waitedMilliseconds = 0;
       return [
@@ -189,6 +192,7 @@
           timely: 0,
           priority,
           isHeld: false,
+          isServable,
           waitedMilliseconds,
         },
       ];
@@ -206,6 +210,7 @@
           timely: list.filter(({request}) => isTimely(request, now)).length,
           priority: Math.min(...list.map(({request}) => request.priority)),
           isHeld: true,
+          isServable: false,
           waitedMilliseconds: now - Math.min(...list.map(({since}) => since)),
         },
       ];
--- a/src/engines/forecast_loads_test.ts
+++ b/src/engines/forecast_loads_test.ts
@@ -51,6 +51,7 @@
         waiting: 1,
         timely: 1,
         waitingForAdapters: 0,
+        returning: 0,
         priority: 3,
         waitedMilliseconds: 0,
         unmetMilliseconds: 0,
--- a/src/engines/load_benefit_test.ts
+++ b/src/engines/load_benefit_test.ts
@@ -5,6 +5,7 @@
   waiting: 1,
   timely: more.waiting ?? 1,
   waitingForAdapters: 0,
+  returning: 0,
   priority: 1,
   waitedMilliseconds: 0,
   unmetMilliseconds: 0,
--- a/src/engines/model_demand.ts
+++ b/src/engines/model_demand.ts
@@ -9,6 +9,8 @@
   readonly timely: number;
   /** Requests that wait for an adapter of the model. */
   readonly waitingForAdapters: number;
+  /** Refused callers who are expected back soon, now that the model is loaded. */
+  readonly returning: number;
   /** Priority of the most urgent waiting request; 0 is the most urgent. */
   readonly priority: number;
   readonly waitedMilliseconds: number;
--- a/src/engines/plan_placement_test.ts
+++ b/src/engines/plan_placement_test.ts
@@ -55,6 +55,7 @@
   waiting: requests,
   timely: requests,
   waitingForAdapters: 0,
+  returning: 0,
   priority: 1,
   waitedMilliseconds: 50,
   unmetMilliseconds: 0,
@@ -65,6 +66,7 @@
   waiting: 0,
   timely: 0,
   waitingForAdapters: 0,
+  returning: 0,
   priority: 9,
   waitedMilliseconds: 0,
   unmetMilliseconds: 0,
@@ -114,6 +116,16 @@
     demand: {busy: steady(20), 'rare-3': waiting()},
     expected: [['e1', 'rare-3', ['rare-1']]],
   },
+  {
+    name: 'a model whose refused callers are expected back is not evicted',
+    engines: [engine('e1', ['rare-1', 'rare-2'])],
+    demand: {
+      'rare-1': {...steady(0.1), returning: 1},
+      'rare-2': steady(0.3),
+      'rare-3': waiting(),
+    },
+    expected: [['e1', 'rare-3', ['rare-2']]],
+  },
   {
     name: 'nothing is loaded when all models in demand have replicas',
     engines: ['e1', 'e2', 'e3', 'e4'].map((id, index) =>
--- a/src/engines/pool_manager.ts
+++ b/src/engines/pool_manager.ts
@@ -182,8 +182,9 @@
     const {load} = this.options;
     const inFlight = load.inFlight();
     const waiting = load.waiting(service.name);
+    const awaited = waiting.filter(({isServable}) => !isServable);
     this.unmet.update({
-      awaited: waiting.map(({target}) => splitTarget(target).model),
+      awaited: awaited.map(({target}) => splitTarget(target).model),
       isLoaded: model => this.isLoaded(model),
       now,
     });
@@ -228,7 +229,7 @@
     for (const planned of loads) void this.executeLoad(planned, pool);
     this.adapters.startLoads(
       [...this.engines.values()],
-      waiting,
+      awaited,
       inFlight,
       pool,
     );
--- a/src/engines/pool_manager_test.ts
+++ b/src/engines/pool_manager_test.ts
@@ -73,6 +73,7 @@
     timely: 1,
     priority: 0,
     isHeld: true,
+    isServable: false,
     waitedMilliseconds: 300,
   };
   const lease = new PoolLease({
--- a/src/engines/starved_model_test.ts
+++ b/src/engines/starved_model_test.ts
@@ -124,6 +124,7 @@
   return {
     ...{service: 'engines', target, requests: 3, timely: 2, priority: 1},
     isHeld: true,
+    isServable: false,
     waitedMilliseconds,
   };
 }
@@ -132,6 +133,7 @@
   return {
     ...{service: 'engines', target, requests: 1, timely: 0, priority: 1},
     isHeld: false,
+    isServable: false,
     waitedMilliseconds: 0,
   };
 }
--- a/src/entry/demand_reporter.ts
+++ b/src/entry/demand_reporter.ts
@@ -57,6 +57,7 @@
       reported.entry.timely === current.entry.timely &&
       reported.entry.priority === current.entry.priority &&
       reported.entry.isHeld === current.entry.isHeld &&
+      reported.entry.isServable === current.entry.isServable &&
       Math.abs(reported.since - current.since) <= WAIT_TOLERANCE_MILLISECONDS,
   });
   readonly arrivals = new StateTracker<ArrivalCount>({
--- a/src/fleet/host_demand.ts
+++ b/src/fleet/host_demand.ts
@@ -19,6 +19,7 @@
   /** Priority of the most urgent request; 0 is the most urgent. */
   priority: number;
   isHeld: boolean;
+  isServable: boolean;
   waitedMilliseconds: number;
 }
 
@@ -104,6 +105,7 @@
     sum.timely += entry.timely;
     sum.priority = Math.min(sum.priority, entry.priority);
     sum.isHeld ||= entry.isHeld;
+    sum.isServable &&= entry.isServable;
     sum.waitedMilliseconds = Math.max(
       sum.waitedMilliseconds,
       entry.waitedMilliseconds,
--- a/src/peers/peer_message.ts
+++ b/src/peers/peer_message.ts
@@ -159,6 +159,8 @@
         priority: z.number(),
         /** Whether a request is held, and not only expected to be sent again. */
         isHeld: z.boolean(),
+        /** Whether an engine has the target, so that callers only have to return. */
+        isServable: z.boolean(),
         /** Time for which the oldest request has waited. */
         waitedMilliseconds: milliseconds,
       }),
--- a/src/testing/engine_pool_simulation.ts
+++ b/src/testing/engine_pool_simulation.ts
@@ -242,6 +242,7 @@
           ({kind, arrivedAt}) => now + load <= arrivedAt + kind.objective,
         ).length,
         waitingForAdapters: 0,
+        returning: 0,
         priority: Math.min(9, ...waiting.map(({kind}) => kind.priority)),
         waitedMilliseconds: Math.max(
           0,
--- a/src/testing/pool_traffic.ts
+++ b/src/testing/pool_traffic.ts
@@ -128,6 +128,7 @@
       timely: 1,
       priority: 1,
       isHeld: true,
+      isServable: false,
       waitedMilliseconds: clock.monotonicMilliseconds() - since,
     });
     const demand = {get: entry};
