--- a/src/fleet/endpoint_registry_test.ts
+++ b/src/fleet/endpoint_registry_test.ts
@@ -88,4 +88,39 @@
     clock.advance(LAPSE_GRACE_MILLISECONDS);
     expect(registry.usable('plain').length).toBe(usable);
   });
+
+  interface Restored {
+    name: string;
+    /** Rows of the store after its return, in the order in which they are read. */
+    pages: [ReadonlyMap<string, EndpointRecord>, 'snapshot' | 'changes'][];
+  }
+  const leaving = new Map([['e1', record({rowVersion: 5, state: 'leaving'})]]);
+  const restored: Restored[] = [
+    {name: 'in the copy', pages: [[leaving, 'snapshot']]},
+    {
+      name: 'after the copy',
+      pages: [
+        [new Map([['e1', record({rowVersion: 3})]]), 'snapshot'],
+        [leaving, 'changes'],
+      ],
+    },
+    {
+      name: 'while its row was missing',
+      pages: [
+        [new Map(), 'snapshot'],
+        [leaving, 'changes'],
+      ],
+    },
+  ];
+  // Guards against rows from before the store came back from an older copy that hide
+  // newer ones with lower versions.
+  test.each(restored)('an endpoint that has left $name', ({pages}) => {
+    const {registry} = create(0);
+    registry.applyChanges(new Map([['e1', record({rowVersion: 196})]]));
+    for (const [rows, kind] of pages) {
+      if (kind === 'snapshot') registry.applySnapshot(rows);
+      else registry.applyChanges(rows);
+    }
+    expect(registry.usable('plain').length).toBe(0);
+  });
 });
