Compare versions of the store within one era only

Cause: versions were compared as numbers wherever they are stored, sent or asked with, although the store gives them out again. A row with a lower version of the new era was taken for known (EndpointRegistry), an older copy of a peer for newer and a feed after an older version for complete (TableFollower); a host's own row that the store had lost was never written again (HostRegistration).

Now each page, outcome and update has the era that Store-Era names. The first answer or update of a newer era makes a host read the whole table again and tell its peers, which ask it for the table; what is of an older era is ignored, also a late answer and pages of one table read across the return. Each host writes its row again.

--- a/src/engines/pool_lease_test.ts
+++ b/src/engines/pool_lease_test.ts
@@ -1,7 +1,12 @@
 import {afterEach, describe, expect, test} from 'vitest';
 import {SILENT_LOGGER} from '../observability/mod.ts';
 import {failure, success} from '../errors/mod.ts';
-import type {CommitOutcome, Row, RowChange, RowStore} from '../stores/mod.ts';
+import {
+  type CommitOutcome,
+  type Row,
+  type RowChange,
+  type RowStore,
+} from '../stores/mod.ts';
 import {ManualClock} from '../testing/manual_clock.ts';
 import {PoolLease} from './mod.ts';
 
@@ -32,6 +37,7 @@
           : success({
               rows: this.row === undefined ? [] : [this.row],
               version: this.row?.version ?? 0,
+              era: 0,
               storeMilliseconds: 0,
             }),
       followTable: async () => unavailable,
@@ -50,12 +56,13 @@
     const version = this.row?.version ?? 0;
     if (change === undefined || change.expectedVersion !== version) {
       const rows = this.row === undefined ? [] : [this.row];
-      return success<CommitOutcome>({kind: 'conflict', rows});
+      return success<CommitOutcome>({kind: 'conflict', rows, era: 0});
     }
     this.row = {key: change.key, value: change.value, version: version + 1};
     return success<CommitOutcome>({
       kind: 'committed',
       version: version + 1,
+      era: 0,
       storeMilliseconds: 0,
     });
   }
--- a/src/engines/pool_manager_test.ts
+++ b/src/engines/pool_manager_test.ts
@@ -16,10 +16,17 @@
 function createStore(): RowStore {
   let version = 0;
   return {
-    readTable: async () => success({rows: [], version, storeMilliseconds: 0}),
-    followTable: async () => success({rows: [], version, storeMilliseconds: 0}),
+    readTable: async () =>
+      success({rows: [], version, era: 0, storeMilliseconds: 0}),
+    followTable: async () =>
+      success({rows: [], version, era: 0, storeMilliseconds: 0}),
     commit: async () =>
-      success({kind: 'committed', version: ++version, storeMilliseconds: 0}),
+      success({
+        kind: 'committed',
+        version: ++version,
+        era: 0,
+        storeMilliseconds: 0,
+      }),
   };
 }
 
--- a/src/entry/_table_message_test.ts
+++ b/src/entry/_table_message_test.ts
@@ -9,6 +9,7 @@
   ])('$name is restored', ({value}) => {
     const update = {
       table: 'op',
+      era: 0,
       afterVersion: 3,
       isComplete: false,
       version: 7,
@@ -28,6 +29,7 @@
       kind: 'table_update',
       hops: 0,
       table: 'op',
+      era: 0,
       afterVersion: 3,
       isComplete: false,
       version: 7,
@@ -56,6 +58,7 @@
     const value = Buffer.from(JSON.stringify({models}));
     const [row] = encodeTableUpdate({
       table: 'op',
+      era: 0,
       afterVersion: 3,
       isComplete: false,
       version: 7,
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -16,7 +16,7 @@
 import {type PeerIdentity, PeerNetwork} from '../peers/mod.ts';
 import {CrashTracker, PromptPartQuarantine} from '../relay/mod.ts';
 import {EndpointLimits, PermitBroker} from '../permits/mod.ts';
-import {StoreClock} from '../stores/mod.ts';
+import {StoreClock, StoreEra} from '../stores/mod.ts';
 import type {Clock} from '../time/mod.ts';
 import {bindPermits} from './_bind_permits.ts';
 import {bindRequests} from './_bind_requests.ts';
@@ -192,6 +192,7 @@
         },
       }),
   );
+  container.bind(StoreEra).toConstantValue(new StoreEra());
   container.bind(StoreClock).toDynamicValue(() => new StoreClock({clock}));
   container.bind(StoreFollowers).toDynamicValue(
     () =>
@@ -199,6 +200,7 @@
         platform,
         clock,
         storeClock: container.get(StoreClock),
+        storeEra: container.get(StoreEra),
         logger,
         configuration: container.get(ConfigurationSource),
         endpoints: container.get(EndpointRegistry),
@@ -221,6 +223,7 @@
         store: platform.store,
         clock,
         storeClock: container.get(StoreClock),
+        storeEra: container.get(StoreEra),
         logger,
         row: () => container.get(HostRegistry).self,
       }),
--- a/src/entry/host_registration.ts
+++ b/src/entry/host_registration.ts
@@ -1,6 +1,6 @@
 import {encodeHostRow, type HostRow} from '../fleet/mod.ts';
 import type {EventLogger} from '../observability/mod.ts';
-import type {RowStore, StoreClock} from '../stores/mod.ts';
+import type {RowStore, StoreClock, StoreEra} from '../stores/mod.ts';
 import {type Clock, sleep} from '../time/mod.ts';
 
 /** Table in which hosts discover each other. */
@@ -11,6 +11,7 @@
   store: RowStore;
   clock: Clock;
   storeClock: StoreClock;
+  storeEra: StoreEra;
   logger: EventLogger;
   /** Returns the row of this host; called for each write. */
   row: () => HostRow;
@@ -23,12 +24,20 @@
 export class HostRegistration {
   private readonly abortController = new AbortController();
 
-  constructor(private readonly options: HostRegistrationOptions) {}
+  private hasRegistered = false;
+
+  constructor(private readonly options: HostRegistrationOptions) {
+    // The store may have lost the row, or brought an older one back.
+    options.storeEra.onChange(() => {
+      if (this.hasRegistered) void this.register();
+    });
+  }
 
   /** Writes the row; retries until it succeeds or {@link deregister} is called. */
   async register(): Promise<void> {
     const {clock, row} = this.options;
     const {signal} = this.abortController;
+    this.hasRegistered = true;
     while (!signal.aborted) {
       if (await this.write(encodeHostRow(row()))) return;
       await sleep(clock, RETRY_DELAY_MILLISECONDS, signal);
@@ -42,12 +51,13 @@
   }
 
   private async write(value: Buffer | undefined): Promise<boolean> {
-    const {store, clock, storeClock, logger, row} = this.options;
+    const {store, clock, storeClock, storeEra, logger, row} = this.options;
     const startedAt = clock.monotonicMilliseconds();
     const outcome = await store.commit([
       {table: HOST_TABLE, key: row().hostId, value, expectedVersion: undefined},
     ]);
     if (outcome.ok) {
+      storeEra.observe(outcome.value.era, clock.monotonicMilliseconds());
       if (outcome.value.kind === 'committed')
         storeClock.recordCall({startedAt, ...outcome.value});
       return true;
--- a/src/entry/late_updates_test.ts
+++ b/src/entry/late_updates_test.ts
@@ -9,6 +9,7 @@
   type RowStore,
   type RowStoreError,
   StoreClock,
+  StoreEra,
   type TableUpdate,
 } from '../stores/mod.ts';
 import {ManualClock} from '../testing/manual_clock.ts';
@@ -65,6 +66,7 @@
     const page = (table: string, after: number): RowPage => ({
       rows: (this.rows.get(table) ?? []).filter(row => row.version > after),
       version: this.version,
+      era: 0,
       storeMilliseconds: STORE_START + this.clock.monotonicMilliseconds(),
     });
     type Reply = Result<RowPage, RowStoreError>;
@@ -182,6 +184,7 @@
       platform: {...platform, store: store.client(index, faults)},
       clock,
       storeClock: new StoreClock({clock}),
+      storeEra: new StoreEra(),
       logger: SILENT_LOGGER,
       configuration,
       endpoints,
--- a/src/entry/store_followers.ts
+++ b/src/entry/store_followers.ts
@@ -10,6 +10,7 @@
   type Row,
   type RowSource,
   type StoreClock,
+  type StoreEra,
   TableFollower,
   type TableUpdate,
 } from '../stores/mod.ts';
@@ -23,6 +24,7 @@
   platform: PlatformAdapter;
   clock: Clock;
   storeClock: StoreClock;
+  storeEra: StoreEra;
   logger: EventLogger;
   configuration: ConfigurationSource;
   endpoints: EndpointRegistry;
@@ -115,12 +117,13 @@
   private readonly unreadableKeys = new Set<string>();
 
   constructor(private readonly options: StoreFollowersOptions) {
-    const {platform, clock, storeClock, logger, publish} = options;
+    const {platform, clock, storeClock, storeEra, logger, publish} = options;
     const {drainMilliseconds, configurationMilliseconds} = options;
     const common = {
       store: platform.store,
       clock,
       storeClock,
+      storeEra,
       logger,
       publish,
     };
@@ -153,12 +156,12 @@
       keepaliveMilliseconds: drainMilliseconds * ENDPOINT_PAUSE_SHARE,
       isSignificant: (row, previous) =>
         this.isSignificantEndpoint(row, previous),
-      onSnapshot: rows => {
-        options.endpoints.applySnapshot(this.decodeEndpoints(rows));
+      onSnapshot: (rows, {era}) => {
+        options.endpoints.applySnapshot(this.decodeEndpoints(rows), era);
         options.onEndpointsChanged();
       },
-      onChanges: rows => {
-        options.endpoints.applyChanges(this.decodeEndpoints(rows));
+      onChanges: (rows, {era}) => {
+        options.endpoints.applyChanges(this.decodeEndpoints(rows), era);
         options.onEndpointsChanged();
       },
     });
--- a/src/entry/store_followers_test.ts
+++ b/src/entry/store_followers_test.ts
@@ -7,6 +7,7 @@
   type Row,
   type RowStore,
   StoreClock,
+  StoreEra,
   type TableUpdate,
 } from '../stores/mod.ts';
 import {ManualClock} from '../testing/manual_clock.ts';
@@ -60,6 +61,7 @@
       return success({
         rows: table === platform.endpointTable ? rows : [],
         version,
+        era: 0,
         storeMilliseconds: clock.monotonicMilliseconds(),
       });
     },
@@ -69,6 +71,7 @@
       return success({
         rows: table === platform.endpointTable ? changed : [],
         version,
+        era: 0,
         storeMilliseconds: clock.monotonicMilliseconds(),
       });
     },
@@ -81,6 +84,7 @@
     platform: {...platform, store},
     clock,
     storeClock: new StoreClock({clock}),
+    storeEra: new StoreEra(),
     logger: SILENT_LOGGER,
     configuration: new ConfigurationSource({
       platform,
@@ -125,6 +129,7 @@
       followers.receive(
         {
           table: platform.endpointTable,
+          era: 0,
           afterVersion,
           isComplete: false,
           version,
--- a/src/fleet/endpoint.ts
+++ b/src/fleet/endpoint.ts
@@ -21,6 +21,8 @@
   constructor(
     public record: EndpointRecord,
     maximumConnections: number,
+    /** Era of the store to which the version of the record's row belongs. */
+    public rowEra = 0,
   ) {
     this.agent = new EndpointAgent({
       maximumConnections,
--- a/src/fleet/endpoint_registry.ts
+++ b/src/fleet/endpoint_registry.ts
@@ -80,26 +80,35 @@
     this.listeners.add(listener);
   }
 
-  /** Applies all rows of the table; endpoints without a row are removed. */
+  /**
+   * Applies all rows of the table; endpoints without a row are removed.
+   *
+   * @param era Era of the store to which the versions of the rows belong.
+   */
   applySnapshot(
     records: ReadonlyMap<string, EndpointRecord | undefined>,
+    era = 0,
   ): void {
     for (const id of [...this.endpoints.keys()]) {
       if (!records.has(id)) this.remove(id);
     }
-    this.applyChanges(records);
+    this.applyChanges(records, era);
   }
 
   /** Applies changed rows; undefined stands for a deleted or invalid row. */
-  applyChanges(records: ReadonlyMap<string, EndpointRecord | undefined>): void {
+  applyChanges(
+    records: ReadonlyMap<string, EndpointRecord | undefined>,
+    era = 0,
+  ): void {
     for (const [id, record] of records) {
       if (record === undefined) this.remove(id);
-      else this.update(record);
+      else this.update(record, era);
     }
     for (const listener of this.listeners) listener();
   }
 
-  private update(record: EndpointRecord): void {
+  /** @param era Era of the store to which the version of the row belongs. */
+  private update(record: EndpointRecord, era: number): void {
     const {logger} = this.options;
     this.pendingRemovals.get(record.id)?.();
     this.pendingRemovals.delete(record.id);
@@ -110,13 +119,19 @@
       known.record.address === record.address
     ) {
       // Reading the whole table again returns rows that are already known.
-      if (record.rowVersion <= known.record.rowVersion) return;
+      const isSameEra = era === known.rowEra;
+      if (isSameEra && record.rowVersion <= known.record.rowVersion) return;
       known.record = record;
+      known.rowEra = era;
     } else {
       known?.agent.destroy();
       this.endpoints.set(
         record.id,
-        new Endpoint(record, this.options.maximumConnections(record.service)),
+        new Endpoint(
+          record,
+          this.options.maximumConnections(record.service),
+          era,
+        ),
       );
       logger.event('endpointFound', describe(record));
     }
--- a/src/fleet/endpoint_registry_test.ts
+++ b/src/fleet/endpoint_registry_test.ts
@@ -116,10 +116,10 @@
   // newer ones with lower versions.
   test.each(restored)('an endpoint that has left $name', ({pages}) => {
     const {registry} = create(0);
-    registry.applyChanges(new Map([['e1', record({rowVersion: 196})]]));
+    registry.applyChanges(new Map([['e1', record({rowVersion: 196})]]), 0);
     for (const [rows, kind] of pages) {
-      if (kind === 'snapshot') registry.applySnapshot(rows);
-      else registry.applyChanges(rows);
+      if (kind === 'snapshot') registry.applySnapshot(rows, 1);
+      else registry.applyChanges(rows, 1);
     }
     expect(registry.usable('plain').length).toBe(0);
   });
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -120,6 +120,12 @@
     message:
       'Store no longer has the change history of a table; reading the whole table',
   },
+  storeRestored: {
+    number: 239,
+    level: 'warn',
+    message:
+      'Store came back from an older copy; reading the whole table again',
+  },
   configurationApplied: {
     number: 233,
     level: 'info',
--- a/src/peers/peer_message.ts
+++ b/src/peers/peer_message.ts
@@ -198,6 +198,8 @@
     kind: z.literal('table_update'),
     hops,
     table: z.string(),
+    /** Era of the store to which the versions belong. */
+    era: z.number().int().nonnegative(),
     /** Version up to which the receiver must know the table. */
     afterVersion: version,
     /** Whether the rows are the whole table. */
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -40,7 +40,7 @@
 
   async readTable(table: string): Promise<Result<RowPage, RowStoreError>> {
     const rows: Row[] = [];
-    let version: number | undefined;
+    let first: DecodedPage | undefined;
     let startKey = '';
     for (;;) {
       const from =
@@ -49,11 +49,18 @@
       const response = await this.call('read', 'GET', path);
       if (!response.ok) return response;
       const {page} = response.value;
+      if (first !== undefined && first.era !== page.era) {
+        // The pages before this one are of a store that has lost some rows since.
+        rows.length = 0;
+        first = undefined;
+        startKey = '';
+        continue;
+      }
       rows.push(...page.rows);
       // Rows of this page can change before the next one is read.
-      version ??= page.version;
+      first ??= page;
       if (!page.hasMore || page.rows.length === 0) {
-        return success({...page, rows, version});
+        return success({...page, rows, version: first.version});
       }
       // `source` is an inclusive lower bound; appending a zero byte to the last
       // key gives the next possible key.
@@ -108,10 +115,11 @@
     const {status, page} = response.value;
     return success(
       status === STATUS_CONFLICT
-        ? {kind: 'conflict', rows: page.rows}
+        ? {kind: 'conflict', rows: page.rows, era: page.era}
         : {
             kind: 'committed',
             version: page.version,
+            era: page.era,
             storeMilliseconds: page.storeMilliseconds,
           },
     );
@@ -161,6 +169,9 @@
   readonly timeoutMilliseconds?: number;
 }
 
+/** Header that rises each time the store comes back from an older copy. */
+const ERA_HEADER = 'store-era';
+
 const STATUS_CONFLICT = 412;
 const STATUS_HISTORY_GONE = 410;
 
@@ -188,6 +199,7 @@
   return {
     rows: objectsOf(page['rows']).map(decodeRow),
     version: numberOf(page['schema_version']),
+    era: Number(response.headers[ERA_HEADER] ?? 0),
     storeMilliseconds: numberOf(page['now_ms']),
     hasMore: page['has_more'] === true,
   };
--- a/src/stores/_table_log.ts
+++ b/src/stores/_table_log.ts
@@ -55,6 +55,11 @@
     this.unavailableSince = undefined;
   }
 
+  /** Records that the store has come back from an older copy. */
+  restored(): void {
+    this.recoveredAt = this.options.clock.monotonicMilliseconds();
+  }
+
   /** Records that this host reads because the updates of its peers are late. */
   updatesLate(copy: LateCopy): void {
     if (this.readsInTheirPlace) return;
--- a/src/stores/mod.ts
+++ b/src/stores/mod.ts
@@ -62,6 +62,7 @@
   StoreClock,
   type StoreClockOptions,
 } from './store_clock.ts';
+export {StoreEra} from './store_era.ts';
 export {TableFollower, type TableFollowerOptions} from './table_follower.ts';
 export type {RowSource} from './row_source.ts';
 export type {TableUpdate} from './table_update.ts';
--- a/src/stores/restored_store_test.ts
+++ b/src/stores/restored_store_test.ts
@@ -6,6 +6,7 @@
   type Row,
   type RowStore,
   StoreClock,
+  StoreEra,
   TableFollower,
   type TableUpdate,
 } from './mod.ts';
@@ -64,6 +65,7 @@
       table: TABLE,
       clock,
       storeClock: new StoreClock({clock}),
+      storeEra: new StoreEra(),
       logger: SILENT_LOGGER,
       waitMilliseconds: 0,
       pauseMilliseconds: () => 100,
--- a/src/stores/row_source.ts
+++ b/src/stores/row_source.ts
@@ -4,4 +4,6 @@
   readonly origin: string;
   /** Time since the table was known to contain the rows, in milliseconds. */
   readonly ageMilliseconds: number;
+  /** Era of the store to which the versions of the rows belong. */
+  readonly era: number;
 }
--- a/src/stores/row_store.ts
+++ b/src/stores/row_store.ts
@@ -5,7 +5,10 @@
   readonly key: string;
   /** Content of the row; undefined when the row was deleted. */
   readonly value: Buffer | undefined;
-  /** Version of the transaction that wrote the row; increases across all tables. */
+  /**
+   * Version of the transaction that wrote the row; increases across all tables
+   * within an era of the store.
+   */
   readonly version: number;
 }
 
@@ -14,6 +17,8 @@
   readonly rows: readonly Row[];
   /** Newest version of the store when the page was read. */
   readonly version: number;
+  /** Increases each time the store comes back from an older copy. */
+  readonly era: number;
   /** Time of the store's steady clock in the response, in milliseconds. */
   readonly storeMilliseconds: number;
 }
@@ -43,10 +48,15 @@
   | {
       readonly kind: 'committed';
       readonly version: number;
+      readonly era: number;
       /** Time of the store's steady clock in the response, in milliseconds. */
       readonly storeMilliseconds: number;
     }
-  | {readonly kind: 'conflict'; readonly rows: readonly Row[]};
+  | {
+      readonly kind: 'conflict';
+      readonly rows: readonly Row[];
+      readonly era: number;
+    };
 
 /** Options of {@link RowStore.followTable}. */
 export interface FollowOptions {
--- a/src/stores/table_follower.ts
+++ b/src/stores/table_follower.ts
@@ -2,6 +2,7 @@
 import {type Clock, sleep} from '../time/mod.ts';
 import type {FollowOptions, Row, RowPage, RowStore} from './row_store.ts';
 import type {StoreClock} from './store_clock.ts';
+import type {StoreEra} from './store_era.ts';
 import {TableLog} from './_table_log.ts';
 import type {RowSource} from './row_source.ts';
 import type {TableUpdate} from './table_update.ts';
@@ -13,6 +14,8 @@
   clock: Clock;
   /** Clock of the store, shared by all followers of this host. */
   storeClock: StoreClock;
+  /** Era of the store, shared likewise. */
+  storeEra: StoreEra;
   logger: EventLogger;
   /** Maximum time in milliseconds that a call of the reader waits for a change. */
   waitMilliseconds: number;
@@ -87,6 +90,8 @@
 export class TableFollower {
   private readonly stopController = new AbortController();
   private version: number | undefined;
+  /** Era of the store to which the version and the rows belong. */
+  private era = 0;
   private readonly rows = new Map<string, Row>();
   private startedAt = 0;
   private freshAt = Number.NEGATIVE_INFINITY;
@@ -140,19 +145,23 @@
    *   not applied.
    */
   receive(update: TableUpdate, from = ''): boolean {
-    const known = this.version;
+    const {clock, storeClock, storeEra} = this.options;
+    storeEra.observe(update.era, clock.monotonicMilliseconds());
+    // Its sender does not know yet what the store has lost.
+    if (update.era < storeEra.current) return true;
+    const known = update.era === this.era ? this.version : undefined;
     const hasGap = known === undefined || update.afterVersion > known;
     if (hasGap && !update.isComplete) return false;
-    const {clock, storeClock} = this.options;
     storeClock.recordUpdate(update.knownAt);
     if (update.regainedAt !== undefined) {
       this.log.peerRecovered(storeClock.toMonotonic(update.regainedAt));
     }
     const knownAt = storeClock.toMonotonic(update.knownAt);
     const ageMilliseconds = clock.monotonicMilliseconds() - knownAt;
-    const source = {origin: from, ageMilliseconds};
+    const source = {origin: from, ageMilliseconds, era: update.era};
     if (update.isComplete) {
-      if (update.version <= (known ?? 0)) return true;
+      if (known !== undefined && update.version <= known) return true;
+      this.enterEra(update.era);
       this.version = update.version;
       this.replaceRows(update.rows);
       this.deliver(() => this.options.onSnapshot(update.rows, source));
@@ -166,9 +175,10 @@
 
   /** The whole table as known here, for a peer that misses changes. */
   content(): TableUpdate | undefined {
-    if (this.version === undefined) return undefined;
+    if (this.version === undefined || this.isOutdated) return undefined;
     return {
       table: this.options.table,
+      era: this.era,
       afterVersion: 0,
       isComplete: true,
       version: this.version,
@@ -230,6 +240,7 @@
   private async poll(): Promise<boolean> {
     const {store, table, clock} = this.options;
     const knownVersion = this.version;
+    const knownEra = this.era;
     const startedAt = clock.monotonicMilliseconds();
     const options = this.followOptions();
     const page =
@@ -241,20 +252,32 @@
       this.handleFailure(page.error.kind, page.error.reason);
       return page.error.kind === 'history_lost';
     }
+    const {rows, version, era} = page.value;
+    const {storeEra} = this.options;
+    storeEra.observe(era, clock.monotonicMilliseconds());
     this.log.callSucceeded();
-    const {rows, version} = page.value;
+    // An answer from before the store came back is late.
+    if (era < storeEra.current) return true;
+    if (knownVersion !== undefined && era !== knownEra) {
+      // The rows may come from the middle of what was written since the copy.
+      if (era !== this.era) this.restart(era);
+      return true;
+    }
     // Peers may have missed updates that this host received in between.
     if (knownVersion !== this.readVersion) {
       this.publishedVersion = knownVersion ?? version;
     }
     this.readVersion = version;
     if (knownVersion === undefined) {
+      const isRestored = this.enterEra(era);
       this.version = version;
       this.publishedVersion = version;
       this.recordRead(page.value, startedAt, 0);
       this.replaceRows(rows);
       const source = this.ownSource();
       this.deliver(() => this.options.onSnapshot(rows, source));
+      // Shows the peers that they need the whole table.
+      if (isRestored) this.publish([], version, version);
       return true;
     }
     // An empty page was written only after the wait, so the table is known up to
@@ -266,6 +289,33 @@
     return true;
   }
 
+  /** Whether the store has come back from an older copy since this one was read. */
+  private get isOutdated(): boolean {
+    return this.era !== this.options.storeEra.current;
+  }
+
+  /** Makes this host read the whole table, which is of another era now. */
+  private restart(era: number): void {
+    const {logger, table} = this.options;
+    const {version} = this;
+    logger.event('storeRestored', {table, era, formerEra: this.era, version});
+    this.log.restored();
+    this.version = undefined;
+    this.readVersion = undefined;
+  }
+
+  /**
+   * Records the era of the rows that replace the known ones.
+   *
+   * @returns Whether the store has come back from an older copy.
+   */
+  private enterEra(era: number): boolean {
+    if (era === this.era) return false;
+    this.era = era;
+    this.publishedAt = Number.NEGATIVE_INFINITY;
+    return true;
+  }
+
   private applyChanges(
     rows: readonly Row[],
     version: number,
@@ -319,6 +369,7 @@
     if (significant.length === 0 && !isDue) return;
     publish({
       table,
+      era: this.era,
       afterVersion: this.publishedVersion,
       isComplete: false,
       version,
@@ -337,7 +388,11 @@
 
   private ownSource(): RowSource {
     const now = this.options.clock.monotonicMilliseconds();
-    return {origin: 'store', ageMilliseconds: now - this.freshAt};
+    return {
+      origin: 'store',
+      ageMilliseconds: now - this.freshAt,
+      era: this.era,
+    };
   }
 
   /** Logs when this host begins to read for lack of fresh updates. */
--- a/src/stores/table_follower_test.ts
+++ b/src/stores/table_follower_test.ts
@@ -7,6 +7,7 @@
   type RowPage,
   type RowStore,
   StoreClock,
+  StoreEra,
   TableFollower,
   type TableUpdate,
 } from './mod.ts';
@@ -31,6 +32,7 @@
     return this.respond(() => ({
       rows: [...this.shared.rows],
       version: this.shared.version,
+      era: 0,
       storeMilliseconds: this.clock.monotonicMilliseconds(),
     }));
   }
@@ -39,6 +41,7 @@
     return this.respond(() => ({
       rows: this.shared.rows.filter(row => row.version > after),
       version: this.shared.version,
+      era: 0,
       storeMilliseconds: this.clock.monotonicMilliseconds(),
     }));
   }
@@ -109,6 +112,7 @@
       table: 'servers',
       clock,
       storeClock: new StoreClock({clock}),
+      storeEra: new StoreEra(),
       logger: SILENT_LOGGER,
       waitMilliseconds: 0,
       pauseMilliseconds: () => 100,
@@ -142,6 +146,7 @@
     table: 'servers',
     clock,
     storeClock: new StoreClock({clock}),
+    storeEra: new StoreEra(),
     logger: SILENT_LOGGER,
     waitMilliseconds: 0,
     pauseMilliseconds: () => 100,
@@ -247,6 +252,7 @@
         table: 'servers',
         clock,
         storeClock: new StoreClock({clock}),
+        storeEra: new StoreEra(),
         logger: {event: name => events.push(name)},
         waitMilliseconds: 0,
         pauseMilliseconds: () => 100,
@@ -276,6 +282,7 @@
     const rows = [{key: 'a', value: undefined, version: known + 40}];
     followers[1]?.receive({
       table: 'servers',
+      era: 0,
       afterVersion: known + 30,
       isComplete: false,
       version: known + 40,
--- a/src/stores/table_update.ts
+++ b/src/stores/table_update.ts
@@ -3,6 +3,8 @@
 /** Changes of a table that one host has read from the store, for its peers. */
 export interface TableUpdate {
   readonly table: string;
+  /** Era of the store to which the versions belong. */
+  readonly era: number;
   /** Version up to which the receiver must know the table to apply the rows. */
   readonly afterVersion: number;
   /** Whether the rows are the whole table, whatever the receiver knows. */
--- a/src/testing/restorable_store.ts
+++ b/src/testing/restorable_store.ts
@@ -46,6 +46,7 @@
         row => row.table === table && row.version > afterVersion,
       ),
       version: this.version,
+      era: this.era,
       storeMilliseconds: now,
     };
     return success(page);
@@ -59,6 +60,7 @@
     const {table, key, value, expectedVersion} = change;
     const name = `${table} ${key}`;
     const row = this.rows.get(name);
+    const {era} = this;
     if (
       expectedVersion !== undefined &&
       expectedVersion !== (row?.version ?? 0)
@@ -66,6 +68,7 @@
       return success<CommitOutcome>({
         kind: 'conflict',
         rows: row === undefined ? [] : [row],
+        era,
       });
     this.version++;
     if (value === undefined) this.rows.delete(name);
@@ -73,6 +76,7 @@
     return success<CommitOutcome>({
       kind: 'committed',
       version: this.version,
+      era,
       storeMilliseconds: now,
     });
   }
