Give no epoch out again when the store has lost a hand-over

Cause: the epoch was that of the row plus one, versions of renewals were compared across eras, a condition could hold for a version that was given out again, and a missing row counted as a lease that nobody had held.

Now a host never goes below the highest epoch that it knows from rows, announcements, resignations and its own past; renewals and observations have the era of their version; a holder that sees a new era in a renewal gives up and acquires the lease anew, at once if it was valid until then; an acquisition over a row of an older era, or without a row, waits until a holder whose row was lost can no longer order. Rows name their era.

--- a/src/engines/_lease_content.ts
+++ b/src/engines/_lease_content.ts
@@ -3,6 +3,8 @@
   readonly holder: string;
   readonly incarnation: string;
   readonly epoch: number;
+  /** Era of the store in which the row was written. */
+  readonly era: number;
   /** Whether the holder has released the lease. */
   readonly released: boolean;
   /**
@@ -28,6 +30,7 @@
       holder: content.holder ?? '',
       incarnation: content.incarnation ?? '',
       epoch: content.epoch ?? 0,
+      era: content.era ?? 0,
       released: content.released ?? false,
       active: content.active ?? true,
     };
--- a/src/engines/pool_lease.ts
+++ b/src/engines/pool_lease.ts
@@ -1,12 +1,13 @@
 import {unreachable} from '../errors/mod.ts';
 import type {EventLogger} from '../observability/mod.ts';
-import type {RowStore} from '../stores/mod.ts';
+import type {RowStore, StoreEra} from '../stores/mod.ts';
 import {type Clock, sleep} from '../time/mod.ts';
 import {decodeLease, encodeLease, type LeaseContent} from './_lease_content.ts';
 
 /** Options of {@link PoolLease}. */
 export interface PoolLeaseOptions {
   store: RowStore;
+  storeEra: StoreEra;
   clock: Clock;
   logger: EventLogger;
   hostId: string;
@@ -54,6 +55,8 @@
 
 const POLL_MILLISECONDS = 300;
 
+const STORE_RESTORED_REASON = 'the store has come back from an older copy';
+
 /** Time after which an order that was sent has arrived or been abandoned. */
 const ORDER_TIMEOUT_MILLISECONDS = 1000;
 
@@ -62,6 +65,7 @@
 
 interface HeldLease {
   readonly epoch: number;
+  readonly era: number;
   readonly version: number;
   readonly ordersAllowedFrom: number;
   /** Latest time at which a previous holder can have sent an order. */
@@ -69,13 +73,26 @@
 }
 
 interface Observation {
+  readonly era: number;
   readonly version: number;
   /** Monotonic time since which the row is known to be unchanged. */
   readonly unchangedSince: number;
 }
 
+interface Resignation {
+  readonly epoch: number;
+  readonly lastOrderAt: number;
+  /**
+   * Whether this host held the lease in that epoch until it saw the store come back,
+   * so that no other host can have acquired it meanwhile.
+   */
+  readonly isOwn: boolean;
+}
+
 /** Last renewal of a lease, as the holder reports it to its peers. */
 export interface LeaseRenewal {
+  /** Era of the store to which the version belongs. */
+  readonly era: number;
   /** Version of the row written by the renewal. */
   readonly version: number;
   /**
@@ -108,7 +125,9 @@
   /** Last renewal reported by another holder. */
   private receivedRenewal: Observation | undefined;
   /** Epoch whose holder has reported that it sends no more orders. */
-  private resignation: {epoch: number; lastOrderAt: number} | undefined;
+  private resignation: Resignation | undefined;
+  /** Highest epoch of which this host knows, also if the store has lost it. */
+  private highestEpoch = 0;
 
   constructor(private readonly options: PoolLeaseOptions) {}
 
@@ -156,6 +175,7 @@
     // Uses only the monotonic clock: after a wall-clock jump, a successor would
     // assume that the renewal is older than it is.
     return {
+      era: this.held.era,
       version: this.held.version,
       sinceMilliseconds: now - this.renewedAt,
     };
@@ -167,15 +187,25 @@
    * after the validity of that renewal, so a successor need not observe the row
    * for the full takeover time first.
    */
-  receiveRenewal({version, sinceMilliseconds}: LeaseRenewal): void {
+  receiveRenewal({era, version, sinceMilliseconds}: LeaseRenewal): void {
     const now = this.options.clock.monotonicMilliseconds();
-    this.receivedRenewal = {version, unchangedSince: now - sinceMilliseconds};
+    const unchangedSince = now - sinceMilliseconds;
+    this.receivedRenewal = {era, version, unchangedSince};
+  }
+
+  /**
+   * Records an epoch in which a holder has acted. The store may lose the row that says
+   * so, and an epoch must not be given out again.
+   */
+  recordEpoch(epoch: number): void {
+    this.highestEpoch = Math.max(this.highestEpoch, epoch);
   }
 
   /** Records that the holder of an epoch sends no more orders. */
   receiveResignation(epoch: number, sinceOrder: number): void {
     const now = this.options.clock.monotonicMilliseconds();
-    this.resignation = {epoch, lastOrderAt: now - sinceOrder};
+    this.recordEpoch(epoch);
+    this.resignation = {epoch, lastOrderAt: now - sinceOrder, isOwn: false};
   }
 
   /** Acquires and renews the lease until {@link release}. */
@@ -246,6 +276,11 @@
     if (this.held !== held || this.stopping.signal.aborted) return 0;
     switch (outcome.kind) {
       case 'committed':
+        // The condition may have held by chance for a version that was given out again.
+        if (outcome.era !== held.era) {
+          this.resign(held, STORE_RESTORED_REASON);
+          return 0;
+        }
         this.held = {...held, version: outcome.version};
         this.renewedAt = startedAt;
         this.renewedWallTime = startedWallTime;
@@ -257,6 +292,10 @@
         this.resign(held, 'no renewal succeeded in time');
         return RENEWAL_MILLISECONDS;
       case 'conflict':
+        if (outcome.era !== held.era) {
+          this.resign(held, STORE_RESTORED_REASON);
+          return 0;
+        }
         return this.handleConflict(held, outcome.row);
       default:
         return unreachable(outcome);
@@ -288,13 +327,20 @@
 
   private resign(held: HeldLease, reason: string): void {
     const {logger, onResigned} = this.options;
+    const isOwn = reason === STORE_RESTORED_REASON && this.isHeld();
     this.held = undefined;
     logger.event('leaseLost', {...this.fields(held.epoch), reason});
-    onResigned?.(held.epoch, this.sinceLastOrder(held));
+    const sinceOrder = this.sinceLastOrder(held);
+    this.resignation = {
+      epoch: held.epoch,
+      lastOrderAt: this.options.clock.monotonicMilliseconds() - sinceOrder,
+      isOwn,
+    };
+    onResigned?.(held.epoch, sinceOrder);
   }
 
   private async tryAcquire(): Promise<void> {
-    const {clock, store, random} = this.options;
+    const {clock, store, storeEra, random} = this.options;
     const {signal} = this.stopping;
     const page = await store.readTable(LEASE_TABLE);
     const now = clock.monotonicMilliseconds();
@@ -303,23 +349,28 @@
       await sleep(clock, POLL_MILLISECONDS, signal);
       return;
     }
+    const {era} = page.value;
+    storeEra.observe(era, now);
     const row = page.value.rows.find(({key}) => key === this.options.scope);
     const content = row === undefined ? undefined : decodeLease(row.value);
     const version = row?.version ?? 0;
-    if (this.observedRow?.version !== version) {
-      this.observedRow =
-        this.receivedRenewal?.version === version
-          ? this.receivedRenewal
-          : {version, unchangedSince: now};
+    const isSeen = (observed: Observation | undefined) =>
+      observed?.era === era && observed.version === version;
+    if (!isSeen(this.observedRow)) {
+      this.observedRow = isSeen(this.receivedRenewal)
+        ? this.receivedRenewal
+        : {era, version, unchangedSince: now};
     }
     const hasResigned =
-      content !== undefined && this.resignation?.epoch === content.epoch;
+      content !== undefined &&
+      this.resignation !== undefined &&
+      this.resignation.epoch >= Math.max(content.epoch, this.highestEpoch);
     const isAvailable =
       content === undefined ||
       content.released ||
       hasResigned ||
       content.holder === this.options.hostId ||
-      now - this.observedRow.unchangedSince >= TAKEOVER_MILLISECONDS;
+      now - (this.observedRow?.unchangedSince ?? now) >= TAKEOVER_MILLISECONDS;
     if (!isAvailable) {
       await sleep(clock, POLL_MILLISECONDS, signal);
       return;
@@ -333,21 +384,20 @@
     previous: LeaseContent | undefined,
     version: number,
   ): Promise<void> {
-    const {clock, logger, hostId, handoverDelayMilliseconds} = this.options;
+    const {clock, logger, handoverDelayMilliseconds} = this.options;
     const startedAt = clock.monotonicMilliseconds();
     const startedWallTime = clock.now().getTime();
-    const epoch = (previous?.epoch ?? 0) + 1;
+    const era = this.observedRow?.era ?? 0;
     const unchangedSince = this.observedRow?.unchangedSince ?? startedAt;
-    // A restarted host may continue its own term without a handover delay, but
-    // only if the delay of that term had already passed.
-    const isOwnTerm =
-      previous === undefined || (previous.holder === hostId && previous.active);
+    this.recordEpoch(previous?.epoch ?? 0);
+    const epoch = this.highestEpoch + 1;
+    const isOwnTerm = this.isOwnTerm(previous, startedAt);
     const outcome = await this.write(epoch, version, {
       released: false,
       active: isOwnTerm,
     });
     this.observedRow = undefined;
-    if (outcome.kind !== 'committed') {
+    if (outcome.kind !== 'committed' || outcome.era !== era) {
       await sleep(clock, LOST_RACE_PAUSE_MILLISECONDS, this.stopping.signal);
       return;
     }
@@ -356,8 +406,10 @@
       startedAt,
       unchangedSince,
     );
+    this.recordEpoch(epoch);
     this.held = {
       epoch,
+      era,
       version: outcome.version,
       ordersAllowedFrom: isOwnTerm
         ? startedAt
@@ -381,21 +433,55 @@
     });
   }
 
-  /** Latest time at which the previous holder can have sent an order. */
+  /**
+   * Whether no other host can have acted since this one. A restarted host may continue
+   * its own term without a handover delay, but only if the delay of that term had
+   * already passed.
+   */
+  private isOwnTerm(
+    previous: LeaseContent | undefined,
+    startedAt: number,
+  ): boolean {
+    const {hostId, handoverDelayMilliseconds} = this.options;
+    const {resignation} = this;
+    if (resignation?.epoch === this.highestEpoch && resignation.isOwn)
+      return true;
+    // The store may have lost the row of a later holder.
+    const settledAt = this.unknownOrderTime(previous);
+    if (startedAt < settledAt + handoverDelayMilliseconds) return false;
+    return (
+      previous === undefined || (previous.holder === hostId && previous.active)
+    );
+  }
+
+  /** Latest time at which a previous holder can have sent an order. */
   private latestOrderTime(
     previous: LeaseContent | undefined,
     startedAt: number,
     unchangedSince: number,
   ): number {
-    if (previous === undefined) return Number.NEGATIVE_INFINITY;
-    if (this.resignation?.epoch === previous.epoch) {
-      return this.resignation.lastOrderAt;
-    }
-    if (previous.released) return startedAt;
+    const unknownOrderAt = this.unknownOrderTime(previous);
+    const {resignation} = this;
+    if (resignation !== undefined && resignation.epoch === this.highestEpoch)
+      return Math.max(resignation.lastOrderAt, unknownOrderAt);
+    if (previous === undefined) return unknownOrderAt;
+    if (previous.released) return Math.max(startedAt, unknownOrderAt);
     // The previous holder may send orders for the validity period after its
     // last renewal, which happened no later than the first sight of the row
     // version.
-    return unchangedSince + VALIDITY_MILLISECONDS;
+    return Math.max(unchangedSince + VALIDITY_MILLISECONDS, unknownOrderAt);
+  }
+
+  /**
+   * Latest time at which a holder can have sent an order whose row the store has lost
+   * when it came back. Such a holder loses its lease with its next renewal, or by the
+   * end of its validity. A row of the current era was written after that.
+   */
+  private unknownOrderTime(previous: LeaseContent | undefined): number {
+    const {storeEra} = this.options;
+    const isCurrent = previous?.era === storeEra.current;
+    const restoredAt = isCurrent ? storeEra.changedAt : storeEra.since;
+    return restoredAt + VALIDITY_MILLISECONDS;
   }
 
   private async write(
@@ -408,6 +494,7 @@
       holder: hostId,
       incarnation,
       epoch,
+      era: this.options.storeEra.current,
       released,
       active,
     };
@@ -427,11 +514,15 @@
       });
       return {kind: 'failed'};
     }
+    const {era} = outcome.value;
+    const {storeEra, clock} = this.options;
+    storeEra.observe(era, clock.monotonicMilliseconds());
     if (outcome.value.kind === 'committed') return outcome.value;
     const row = outcome.value.rows.find(({key}) => key === scope);
     const found = row === undefined ? undefined : decodeLease(row.value);
     return {
       kind: 'conflict',
+      era,
       row:
         row === undefined || found === undefined
           ? undefined
@@ -450,6 +541,14 @@
 }
 
 type WriteOutcome =
-  | {readonly kind: 'committed'; readonly version: number}
-  | {readonly kind: 'conflict'; readonly row: LeaseRow | undefined}
+  | {
+      readonly kind: 'committed';
+      readonly version: number;
+      readonly era: number;
+    }
+  | {
+      readonly kind: 'conflict';
+      readonly row: LeaseRow | undefined;
+      readonly era: number;
+    }
   | {readonly kind: 'failed'};
--- a/src/engines/pool_lease_test.ts
+++ b/src/engines/pool_lease_test.ts
@@ -6,6 +6,7 @@
   type Row,
   type RowChange,
   type RowStore,
+  StoreEra,
 } from '../stores/mod.ts';
 import {ManualClock} from '../testing/manual_clock.ts';
 import {PoolLease} from './mod.ts';
@@ -85,6 +86,7 @@
   hasHeardFromHolder: () => boolean = () => false,
 ): PoolLease {
   const lease: PoolLease = new PoolLease({
+    storeEra: new StoreEra(),
     store: fixture.store.for(hostId),
     clock: fixture.clock,
     logger: SILENT_LOGGER,
--- a/src/engines/pool_manager_test.ts
+++ b/src/engines/pool_manager_test.ts
@@ -2,7 +2,7 @@
 import {success} from '../errors/mod.ts';
 import {EndpointRegistry, FleetLoad} from '../fleet/mod.ts';
 import {Metrics, SILENT_LOGGER} from '../observability/mod.ts';
-import type {RowStore} from '../stores/mod.ts';
+import {type RowStore, StoreEra} from '../stores/mod.ts';
 import {EndpointLimits} from '../permits/mod.ts';
 import {ManualClock} from '../testing/manual_clock.ts';
 import {
@@ -84,6 +84,7 @@
     waitedMilliseconds: 300,
   };
   const lease = new PoolLease({
+    storeEra: new StoreEra(),
     store: createStore(),
     clock,
     logger: SILENT_LOGGER,
--- a/src/entry/_fleet_state_exchange_options.ts
+++ b/src/entry/_fleet_state_exchange_options.ts
@@ -48,6 +48,7 @@
   /** Called when the manager of a pool announced replicas or renewed its lease. */
   onManagerAnnounced: (
     service: string,
+    epoch: number,
     renewal: LeaseRenewal | undefined,
   ) => void;
   /** Called when the manager of a pool resigned its lease. */
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -149,8 +149,8 @@
         limits: container.get(EndpointLimits),
         permits: container.get(PermitBroker),
         onDemandChanged: () => container.get(PoolSupervisor).notify(),
-        onManagerAnnounced: (service, renewal) =>
-          container.get(PoolSupervisor).recordManager(service, renewal),
+        onManagerAnnounced: (service, epoch, renewal) =>
+          container.get(PoolSupervisor).recordManager(service, epoch, renewal),
         onManagerResigned: (service, epoch, sinceOrder) =>
           container
             .get(PoolSupervisor)
@@ -232,6 +232,7 @@
     () =>
       new PoolSupervisor({
         store: platform.store,
+        storeEra: container.get(StoreEra),
         engines: platform.engines,
         registry: container.get(EndpointRegistry),
         load: container.get(FleetLoad),
--- a/src/entry/fleet_state_exchange.ts
+++ b/src/entry/fleet_state_exchange.ts
@@ -291,11 +291,11 @@
     from: PeerIdentity,
     message: PeerMessageOf<'replica_state'>,
   ): void {
-    const {service, renewal} = message;
+    const {service, epoch, renewal} = message;
     const {replicas, onManagerAnnounced} = this.options;
     const disposition = replicas.receive(message);
     this.requestIfMissing(from, 'replica_state', disposition);
-    onManagerAnnounced(service, renewal);
+    onManagerAnnounced(service, epoch, renewal);
     this.demandReporter.recordManager(service, from.hostId);
     this.passOn(from, message);
   }
--- a/src/entry/pool_supervisor.ts
+++ b/src/entry/pool_supervisor.ts
@@ -8,13 +8,14 @@
 import type {EndpointRegistry, FleetLoad} from '../fleet/mod.ts';
 import type {EventLogger, Metrics} from '../observability/mod.ts';
 import type {EndpointLimits} from '../permits/mod.ts';
-import type {RowStore} from '../stores/mod.ts';
+import type {RowStore, StoreEra} from '../stores/mod.ts';
 import type {Clock} from '../time/mod.ts';
 import type {ConfigurationSource} from './configuration_source.ts';
 
 /** Options of {@link PoolSupervisor}. */
 export interface PoolSupervisorOptions {
   store: RowStore;
+  storeEra: StoreEra;
   engines: EngineControl;
   registry: EndpointRegistry;
   load: FleetLoad;
@@ -90,10 +91,15 @@
   }
 
   /** Records that another host manages a pool. */
-  recordManager(service: string, renewal: LeaseRenewal | undefined): void {
+  recordManager(
+    service: string,
+    epoch: number,
+    renewal: LeaseRenewal | undefined,
+  ): void {
     this.lastHeardAt.set(service, this.options.clock.monotonicMilliseconds());
-    if (renewal === undefined) return;
-    this.pools.get(service)?.lease.receiveRenewal(renewal);
+    const lease = this.pools.get(service)?.lease;
+    lease?.recordEpoch(epoch);
+    if (renewal !== undefined) lease?.receiveRenewal(renewal);
   }
 
   /** Records that another host no longer manages a pool. */
--- a/src/peers/peer_message.ts
+++ b/src/peers/peer_message.ts
@@ -230,7 +230,11 @@
     ...reportPosition,
     /** Latest renewal of the sender's lease. */
     renewal: z
-      .object({version: z.number().int(), sinceMilliseconds: milliseconds})
+      .object({
+        era: z.number().int(),
+        version: z.number().int(),
+        sinceMilliseconds: milliseconds,
+      })
       .optional(),
     engines: z.array(
       z.object({
