--- a/src/engines/_placement_plan.ts
+++ b/src/engines/_placement_plan.ts
@@ -256,11 +256,8 @@
     const isStandby = !isSpare && replicas > required;
     const isBusyModel = rate >= BUSY_RATE_PER_SECOND;
     const running = engine.inFlight.get(model) ?? 0;
-    const isAwaited =
-      (demand?.waiting ?? 0) +
-        (demand?.waitingForAdapters ?? 0) +
-        (demand?.returning ?? 0) >
-      0;
+    const {waiting = 0, waitingForAdapters = 0, returning = 0} = demand ?? {};
+    const isAwaited = waiting + waitingForAdapters + returning > 0;
     return {
       // Models that requests wait for or return for, models loaded a moment ago,
       // and required replicas of busy models are never evicted.
--- a/src/engines/mod.ts
+++ b/src/engines/mod.ts
@@ -37,12 +37,9 @@
 export {type PlacementInput, planPlacement} from './plan_placement.ts';
 export type {EngineSnapshot} from './engine_snapshot.ts';
 export type {PlannedLoad} from './planned_load.ts';
-export {
-  LEASE_TABLE,
-  type LeaseRenewal,
-  PoolLease,
-  type PoolLeaseOptions,
-} from './pool_lease.ts';
+export {LEASE_TABLE, PoolLease} from './pool_lease.ts';
+export type {LeaseRenewal} from './lease_renewal.ts';
+export type {PoolLeaseOptions} from './pool_lease_options.ts';
 export {PoolManager, type PoolManagerOptions} from './pool_manager.ts';
 export {
   RemoteLoadBudget,
--- a/src/engines/pool_lease.ts
+++ b/src/engines/pool_lease.ts
@@ -1,40 +1,13 @@
 import {unreachable} from '../errors/mod.ts';
-import type {EventLogger} from '../observability/mod.ts';
-import type {RowStore, StoreEra} from '../stores/mod.ts';
-import {type Clock, sleep} from '../time/mod.ts';
+import {sleep} from '../time/mod.ts';
 import {decodeLease, encodeLease, type LeaseContent} from './_lease_content.ts';
-
-/** Options of {@link PoolLease}. */
-export interface PoolLeaseOptions {
-  store: RowStore;
-  storeEra: StoreEra;
-  clock: Clock;
-  logger: EventLogger;
-  hostId: string;
-  incarnation: string;
-  /** Name of the leased resource; key of the lease row. */
-  scope: string;
-  /**
-   * Minimum time between the last order of one holder and the first of the
-   * next.
-   */
-  handoverDelayMilliseconds: number;
-  /** Whether another holder has been heard from recently. */
-  hasHeardFromHolder: () => boolean;
-  /**
-   * Called when this host has given up the lease, to notify the other hosts.
-   *
-   * @param sinceOrder Milliseconds since its last order; negative while one may
-   *     still arrive.
-   */
-  onResigned?: (epoch: number, sinceOrder: number) => void;
-  /** Called when the lease has been acquired. */
-  onAcquired?: () => void;
-  /**
-   * Returns a number in [0, 1); adds jitter to the hosts' attempts to acquire.
-   */
-  random: () => number;
-}
+import {
+  LeaseHistory,
+  type Observation,
+  VALIDITY_MILLISECONDS,
+} from './_lease_history.ts';
+import type {LeaseRenewal} from './lease_renewal.ts';
+import type {PoolLeaseOptions} from './pool_lease_options.ts';
 
 /** Table of the leases. */
 export const LEASE_TABLE = 'leases';
@@ -47,9 +20,6 @@
  */
 const RENEWAL_RETRY_MILLISECONDS = 100;
 
-/** Validity of the lease from the start of the last successful renewal. */
-const VALIDITY_MILLISECONDS = 1400;
-
 /** Time for which a row must be unchanged before another host may take over. */
 const TAKEOVER_MILLISECONDS = 1800;
 
@@ -72,36 +42,6 @@
   readonly previousOrderAt: number;
 }
 
-interface Observation {
-  readonly era: number;
-  readonly version: number;
-  /** Monotonic time since which the row is known to be unchanged. */
-  readonly unchangedSince: number;
-}
-
-interface Resignation {
-  readonly epoch: number;
-  readonly lastOrderAt: number;
-  /**
-   * Whether this host held the lease in that epoch until it saw the store come back,
-   * so that no other host can have acquired it meanwhile.
-   */
-  readonly isOwn: boolean;
-}
-
-/** Last renewal of a lease, as the holder reports it to its peers. */
-export interface LeaseRenewal {
-  /** Era of the store to which the version belongs. */
-  readonly era: number;
-  /** Version of the row written by the renewal. */
-  readonly version: number;
-  /**
-   * Time since the renewal started; too low if the host was suspended
-   * meanwhile.
-   */
-  readonly sinceMilliseconds: number;
-}
-
 /**
  * Lease stored as a row of the store. The holder renews the row periodically;
  * another host takes over a row that has been unchanged for longer than the
@@ -122,14 +62,11 @@
     {startedAt: number; startedWallTime: number} | undefined;
   private lastOrderAt = Number.NEGATIVE_INFINITY;
   private ordersInFlight = 0;
-  /** Last renewal reported by another holder. */
-  private receivedRenewal: Observation | undefined;
-  /** Epoch whose holder has reported that it sends no more orders. */
-  private resignation: Resignation | undefined;
-  /** Highest epoch of which this host knows, also if the store has lost it. */
-  private highestEpoch = 0;
+  private readonly history: LeaseHistory;
 
-  constructor(private readonly options: PoolLeaseOptions) {}
+  constructor(private readonly options: PoolLeaseOptions) {
+    this.history = new LeaseHistory(options);
+  }
 
   /** Fencing token of the lease; undefined while it isn't held. */
   get epoch(): number | undefined {
@@ -187,10 +124,8 @@
    * after the validity of that renewal, so a successor need not observe the row
    * for the full takeover time first.
    */
-  receiveRenewal({era, version, sinceMilliseconds}: LeaseRenewal): void {
-    const now = this.options.clock.monotonicMilliseconds();
-    const unchangedSince = now - sinceMilliseconds;
-    this.receivedRenewal = {era, version, unchangedSince};
+  receiveRenewal(renewal: LeaseRenewal): void {
+    this.history.recordRenewal(renewal);
   }
 
   /**
@@ -198,14 +133,14 @@
    * so, and an epoch must not be given out again.
    */
   recordEpoch(epoch: number): void {
-    this.highestEpoch = Math.max(this.highestEpoch, epoch);
+    this.history.recordEpoch(epoch);
   }
 
   /** Records that the holder of an epoch sends no more orders. */
   receiveResignation(epoch: number, sinceOrder: number): void {
     const now = this.options.clock.monotonicMilliseconds();
-    this.recordEpoch(epoch);
-    this.resignation = {epoch, lastOrderAt: now - sinceOrder, isOwn: false};
+    const lastOrderAt = now - sinceOrder;
+    this.history.recordResignation({epoch, lastOrderAt, isOwn: false});
   }
 
   /** Acquires and renews the lease until {@link release}. */
@@ -331,11 +266,11 @@
     this.held = undefined;
     logger.event('leaseLost', {...this.fields(held.epoch), reason});
     const sinceOrder = this.sinceLastOrder(held);
-    this.resignation = {
+    this.history.recordResignation({
       epoch: held.epoch,
       lastOrderAt: this.options.clock.monotonicMilliseconds() - sinceOrder,
       isOwn,
-    };
+    });
     onResigned?.(held.epoch, sinceOrder);
   }
 
@@ -357,14 +292,13 @@
     const isSeen = (observed: Observation | undefined) =>
       observed?.era === era && observed.version === version;
     if (!isSeen(this.observedRow)) {
-      this.observedRow = isSeen(this.receivedRenewal)
-        ? this.receivedRenewal
+      const {reportedRenewal} = this.history;
+      this.observedRow = isSeen(reportedRenewal)
+        ? reportedRenewal
         : {era, version, unchangedSince: now};
     }
     const hasResigned =
-      content !== undefined &&
-      this.resignation !== undefined &&
-      this.resignation.epoch >= Math.max(content.epoch, this.highestEpoch);
+      content !== undefined && this.history.hasResigned(content);
     const isAvailable =
       content === undefined ||
       content.released ||
@@ -389,9 +323,9 @@
     const startedWallTime = clock.now().getTime();
     const era = this.observedRow?.era ?? 0;
     const unchangedSince = this.observedRow?.unchangedSince ?? startedAt;
-    this.recordEpoch(previous?.epoch ?? 0);
-    const epoch = this.highestEpoch + 1;
-    const isOwnTerm = this.isOwnTerm(previous, startedAt);
+    this.history.recordEpoch(previous?.epoch ?? 0);
+    const epoch = this.history.highestEpoch + 1;
+    const isOwnTerm = this.history.isOwnTerm(previous, startedAt);
     const outcome = await this.write(epoch, version, {
       released: false,
       active: isOwnTerm,
@@ -401,12 +335,12 @@
       await sleep(clock, LOST_RACE_PAUSE_MILLISECONDS, this.stopping.signal);
       return;
     }
-    const previousOrderAt = this.latestOrderTime(
+    const previousOrderAt = this.history.latestOrderTime(
       previous,
       startedAt,
       unchangedSince,
     );
-    this.recordEpoch(epoch);
+    this.history.recordEpoch(epoch);
     this.held = {
       epoch,
       era,
@@ -433,57 +367,6 @@
     });
   }
 
-  /**
-   * Whether no other host can have acted since this one. A restarted host may continue
-   * its own term without a handover delay, but only if the delay of that term had
-   * already passed.
-   */
-  private isOwnTerm(
-    previous: LeaseContent | undefined,
-    startedAt: number,
-  ): boolean {
-    const {hostId, handoverDelayMilliseconds} = this.options;
-    const {resignation} = this;
-    if (resignation?.epoch === this.highestEpoch && resignation.isOwn)
-      return true;
-    // The store may have lost the row of a later holder.
-    const settledAt = this.unknownOrderTime(previous);
-    if (startedAt < settledAt + handoverDelayMilliseconds) return false;
-    return (
-      previous === undefined || (previous.holder === hostId && previous.active)
-    );
-  }
-
-  /** Latest time at which a previous holder can have sent an order. */
-  private latestOrderTime(
-    previous: LeaseContent | undefined,
-    startedAt: number,
-    unchangedSince: number,
-  ): number {
-    const unknownOrderAt = this.unknownOrderTime(previous);
-    const {resignation} = this;
-    if (resignation !== undefined && resignation.epoch === this.highestEpoch)
-      return Math.max(resignation.lastOrderAt, unknownOrderAt);
-    if (previous === undefined) return unknownOrderAt;
-    if (previous.released) return Math.max(startedAt, unknownOrderAt);
-    // The previous holder may send orders for the validity period after its
-    // last renewal, which happened no later than the first sight of the row
-    // version.
-    return Math.max(unchangedSince + VALIDITY_MILLISECONDS, unknownOrderAt);
-  }
-
-  /**
-   * Latest time at which a holder can have sent an order whose row the store has lost
-   * when it came back. Such a holder loses its lease with its next renewal, or by the
-   * end of its validity. A row of the current era was written after that.
-   */
-  private unknownOrderTime(previous: LeaseContent | undefined): number {
-    const {storeEra} = this.options;
-    const isCurrent = previous?.era === storeEra.current;
-    const restoredAt = isCurrent ? storeEra.changedAt : storeEra.since;
-    return restoredAt + VALIDITY_MILLISECONDS;
-  }
-
   private async write(
     epoch: number,
     expectedVersion: number,
--- a/src/engines/replica_announcer.ts
+++ b/src/engines/replica_announcer.ts
@@ -2,7 +2,7 @@
 import type {Clock} from '../time/mod.ts';
 import type {EngineState} from './engine_state.ts';
 import type {LoadForecast} from './forecast_loads.ts';
-import type {LeaseRenewal} from './pool_lease.ts';
+import type {LeaseRenewal} from './lease_renewal.ts';
 import type {ReplicaAnnouncement} from './replica_map.ts';
 import type {ReplicaState} from './replica_state.ts';
 
--- a/src/engines/replica_state.ts
+++ b/src/engines/replica_state.ts
@@ -1,4 +1,4 @@
-import type {LeaseRenewal} from './pool_lease.ts';
+import type {LeaseRenewal} from './lease_renewal.ts';
 
 /** Targets that one engine can serve. */
 export interface EngineTargets {
