Forget hosts whose rows came back with an older copy of the store

Each host writes the era of the store into its row, and writes the row again when the era changes. The end of an era is also logged, and counted as a return of the store for endpoints that may register again, if it is noticed by a feed that was refused or from a peer. The options of TableFollower are in a file of their own.

--- a/src/entry/_host_identity.ts
+++ b/src/entry/_host_identity.ts
@@ -1,6 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import type {HostRow} from '../fleet/mod.ts';
 import type {PeerIdentity} from '../peers/mod.ts';
+import type {StoreEra} from '../stores/mod.ts';
 import type {EntrySettings} from './entry_settings.ts';
 import type {EntryState} from './entry_state.ts';
 
@@ -20,11 +21,13 @@
   self: PeerIdentity,
   {processor, linkMegabits}: EntrySettings,
   state: EntryState,
+  storeEra: StoreEra,
 ): HostRow {
   return {
     ...self,
     state: state.isDraining ? 'leaving' : 'ready',
     cores: processor.share * processor.speed,
     linkMegabits,
+    storeEra: storeEra.current,
   };
 }
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -96,7 +96,13 @@
     () =>
       new HostRegistry({
         hostId: self.hostId,
-        self: () => hostRow(self, context.settings, container.get(EntryState)),
+        self: () =>
+          hostRow(
+            self,
+            context.settings,
+            container.get(EntryState),
+            container.get(StoreEra),
+          ),
       }),
   );
   container.bind(FleetTopology).toDynamicValue(
@@ -210,6 +216,11 @@
         isFirstStart: settings.isFirstStart,
         registrationMilliseconds: settings.registrationMilliseconds,
         managesPool: () => container.get(PoolSupervisor).managesPool,
+        isConnected: hostId =>
+          container
+            .get(PeerNetwork)
+            .connectedPeers()
+            .some(peer => peer.hostId === hostId),
         rank: () => container.get(FleetTopology).rank,
         random: Math.random,
         publish: update =>
--- a/src/entry/fleet_state_exchange.ts
+++ b/src/entry/fleet_state_exchange.ts
@@ -27,11 +27,8 @@
 
 type ResendableReport = PeerMessageOf<'resend_request'>['report'];
 
-/** Interval between load reports of an active host. */
-const REPORT_INTERVAL_MILLISECONDS = 100;
-
-/** Interval between load reports of a standby host. */
-const STANDBY_REPORT_INTERVAL_MILLISECONDS = 500;
+/** Intervals between load reports, by the role of the host. */
+const REPORT_INTERVALS_MILLISECONDS = {active: 100, standby: 500} as const;
 
 /** Minimum interval between requests to one peer for the same complete state. */
 const RESEND_INTERVAL_MILLISECONDS = 500;
@@ -91,9 +88,8 @@
     while (!this.abortController.signal.aborted) {
       this.report();
       this.standbyDigest.send();
-      const interval = this.options.topology.isActive
-        ? REPORT_INTERVAL_MILLISECONDS
-        : STANDBY_REPORT_INTERVAL_MILLISECONDS;
+      const role = this.options.topology.isActive ? 'active' : 'standby';
+      const interval = REPORT_INTERVALS_MILLISECONDS[role];
       await sleep(clock, interval, this.abortController.signal);
     }
   }
--- a/src/entry/late_updates_test.ts
+++ b/src/entry/late_updates_test.ts
@@ -185,6 +185,7 @@
       clock,
       storeClock: new StoreClock({clock}),
       storeEra: new StoreEra(),
+      isConnected: () => false,
       logger: SILENT_LOGGER,
       configuration,
       endpoints,
--- a/src/entry/store_followers.ts
+++ b/src/entry/store_followers.ts
@@ -18,6 +18,7 @@
 import type {ConfigurationSource} from './configuration_source.ts';
 import {HOST_TABLE} from './host_registration.ts';
 import type {PlatformAdapter} from './platform_adapter.ts';
+import {ReturningHosts} from './returning_hosts.ts';
 
 /** Options of {@link StoreFollowers}. */
 export interface StoreFollowersOptions {
@@ -42,6 +43,8 @@
   /** Returns the rank of this host among the active ones; undefined on a standby host. */
   rank: () => number | undefined;
   random: () => number;
+  /** Whether this host has a connection to another one. */
+  isConnected: (hostId: string) => boolean;
   /** Sends changes that this host has read to its peers. */
   publish: (update: TableUpdate) => void;
   onEndpointsChanged: () => void;
@@ -112,6 +115,7 @@
   private readonly configuration: TableFollower;
   private readonly endpoints: TableFollower;
   private readonly hosts: TableFollower;
+  private readonly returningHosts: ReturningHosts;
   private readonly stopController = new AbortController();
   /** Keys of the endpoints' rows that were logged as unreadable. */
   private readonly unreadableKeys = new Set<string>();
@@ -119,6 +123,7 @@
   constructor(private readonly options: StoreFollowersOptions) {
     const {platform, clock, storeClock, storeEra, logger, publish} = options;
     const {drainMilliseconds, configurationMilliseconds} = options;
+    this.returningHosts = new ReturningHosts(options);
     const common = {
       store: platform.store,
       clock,
@@ -173,10 +178,12 @@
       maximumAgeMilliseconds: () =>
         this.maximumAge(HOST_MAXIMUM_AGE_MILLISECONDS, 1),
       boundMilliseconds: HOST_BOUND_MILLISECONDS,
-      onSnapshot: rows =>
+      onSnapshot: rows => {
         options.hosts.applySnapshot(
           [...this.decodeHosts(rows).values()].filter(row => row !== undefined),
-        ),
+        );
+        this.returningHosts.expect();
+      },
       onChanges: rows => options.hosts.applyChanges(this.decodeHosts(rows)),
     });
   }
--- a/src/entry/store_followers_test.ts
+++ b/src/entry/store_followers_test.ts
@@ -85,6 +85,7 @@
     clock,
     storeClock: new StoreClock({clock}),
     storeEra: new StoreEra(),
+    isConnected: () => false,
     logger: SILENT_LOGGER,
     configuration: new ConfigurationSource({
       platform,
--- a/src/fleet/choose_active_hosts_test.ts
+++ b/src/fleet/choose_active_hosts_test.ts
@@ -16,6 +16,7 @@
     state: 'ready' as const,
     cores: index % 3 === 0 ? 1.35 : 0.324,
     linkMegabits: 140,
+    storeEra: 0,
   }));
 }
 
--- a/src/fleet/fleet_topology_test.ts
+++ b/src/fleet/fleet_topology_test.ts
@@ -106,6 +106,7 @@
     state: 'ready',
     cores: 1,
     linkMegabits: 100,
+    storeEra: 0,
   };
 }
 
--- a/src/fleet/host_row.ts
+++ b/src/fleet/host_row.ts
@@ -24,6 +24,8 @@
   cores: z.number().positive().default(1),
   /** Bandwidth of the host's network link, in Mbit/s. */
   linkMegabits: z.number().positive().default(1000),
+  /** Era of the store in which the host has written the row. */
+  storeEra: z.number().int().nonnegative().default(0),
 });
 
 /** Row in which a host describes itself in the store. */
--- a/src/stores/_table_log.ts
+++ b/src/stores/_table_log.ts
@@ -56,8 +56,10 @@
   }
 
   /** Records that the store has come back from an older copy. */
-  restored(): void {
-    this.recoveredAt = this.options.clock.monotonicMilliseconds();
+  restored(eras: {era: number; formerEra: number}): void {
+    const {clock, logger, table} = this.options;
+    this.recoveredAt = clock.monotonicMilliseconds();
+    logger.event('storeRestored', {table, ...eras});
   }
 
   /** Records that this host reads because the updates of its peers are late. */
--- a/src/stores/mod.ts
+++ b/src/stores/mod.ts
@@ -63,6 +63,7 @@
   type StoreClockOptions,
 } from './store_clock.ts';
 export {StoreEra} from './store_era.ts';
-export {TableFollower, type TableFollowerOptions} from './table_follower.ts';
+export {TableFollower} from './table_follower.ts';
+export type {TableFollowerOptions} from './table_follower_options.ts';
 export type {RowSource} from './row_source.ts';
 export type {TableUpdate} from './table_update.ts';
--- a/src/stores/table_follower.ts
+++ b/src/stores/table_follower.ts
@@ -1,60 +1,10 @@
-import type {EventLogger} from '../observability/mod.ts';
-import {type Clock, sleep} from '../time/mod.ts';
-import type {FollowOptions, Row, RowPage, RowStore} from './row_store.ts';
-import type {StoreClock} from './store_clock.ts';
-import type {StoreEra} from './store_era.ts';
+import {sleep} from '../time/mod.ts';
+import type {FollowOptions, Row, RowPage} from './row_store.ts';
 import {TableLog} from './_table_log.ts';
 import type {RowSource} from './row_source.ts';
+import type {TableFollowerOptions} from './table_follower_options.ts';
 import type {TableUpdate} from './table_update.ts';
 
-/** Options of {@link TableFollower}. */
-export interface TableFollowerOptions {
-  store: RowStore;
-  table: string;
-  clock: Clock;
-  /** Clock of the store, shared by all followers of this host. */
-  storeClock: StoreClock;
-  /** Era of the store, shared likewise. */
-  storeEra: StoreEra;
-  logger: EventLogger;
-  /** Maximum time in milliseconds that a call of the reader waits for a change. */
-  waitMilliseconds: number;
-  /** Delay after each call; limits the call rate on frequently changing tables. */
-  pauseMilliseconds: () => number;
-  /**
-   * Age of this host's copy at which it reads the store itself; 0 makes it read
-   * all the time. Hosts with a larger value are supplied by the updates of those
-   * with a smaller one, and take over when these stop.
-   */
-  maximumAgeMilliseconds: () => number;
-  /**
-   * Time within which changes must be known; larger than any maximum age. A host
-   * that reads in place of its peers makes several attempts within the rest of it.
-   */
-  boundMilliseconds: number;
-  /**
-   * Interval between updates without significant rows, which show the peers that
-   * this host reads. @default 250
-   */
-  keepaliveMilliseconds?: number;
-  /**
-   * Whether a peer is expected to supply the first copy of the table, so that this
-   * host reads it itself only after {@link INITIAL_WAIT_MILLISECONDS}.
-   */
-  isSupplied?: () => boolean;
-  /**
-   * Whether peers without access to the store need to know of a changed row.
-   * `previous` is the row as all peers know it; undefined if that is not certain.
-   */
-  isSignificant?: (row: Row, previous: Row | undefined) => boolean;
-  /** Sends an update to the peers. */
-  publish?: (update: TableUpdate) => void;
-  /** Receives all rows of the table at the start and after its history was lost. */
-  onSnapshot: (rows: readonly Row[], source: RowSource) => void;
-  /** Receives changed rows; deleted rows have no value. */
-  onChanges: (rows: readonly Row[], source: RowSource) => void;
-}
-
 /** Shortest delay after a failed call; limits retries to a few per second. */
 const RETRY_DELAY_MILLISECONDS = 250;
 
@@ -253,14 +203,13 @@
       return page.error.kind === 'history_lost';
     }
     const {rows, version, era} = page.value;
-    const {storeEra} = this.options;
-    storeEra.observe(era, clock.monotonicMilliseconds());
+    this.options.storeEra.observe(era, clock.monotonicMilliseconds());
     this.log.callSucceeded();
     // An answer from before the store came back is late.
-    if (era < storeEra.current) return true;
+    if (era < this.options.storeEra.current) return true;
     if (knownVersion !== undefined && era !== knownEra) {
       // The rows may come from the middle of what was written since the copy.
-      if (era !== this.era) this.restart(era);
+      if (era !== this.era) this.version = this.readVersion = undefined;
       return true;
     }
     // Peers may have missed updates that this host received in between.
@@ -294,16 +243,6 @@
     return this.era !== this.options.storeEra.current;
   }
 
-  /** Makes this host read the whole table, which is of another era now. */
-  private restart(era: number): void {
-    const {logger, table} = this.options;
-    const {version} = this;
-    logger.event('storeRestored', {table, era, formerEra: this.era, version});
-    this.log.restored();
-    this.version = undefined;
-    this.readVersion = undefined;
-  }
-
   /**
    * Records the era of the rows that replace the known ones.
    *
@@ -311,9 +250,11 @@
    */
   private enterEra(era: number): boolean {
     if (era === this.era) return false;
+    const isRestored = this.knownAt > Number.NEGATIVE_INFINITY;
+    if (isRestored) this.log.restored({era, formerEra: this.era});
     this.era = era;
     this.publishedAt = Number.NEGATIVE_INFINITY;
-    return true;
+    return isRestored;
   }
 
   private applyChanges(
