--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -298,7 +298,6 @@
     const {clock, replicas, onDemandChanged} = this.options;
     const now = clock.monotonicMilliseconds();
     const deadline = this.waitDeadline(request);
-    const {route} = request;
     const service = request.service.name;
     const model = request.metadata.model ?? target;
     const hasReplica = Number.isFinite(roomAt);
@@ -308,7 +307,7 @@
       : (expectedAt ?? replicas.remoteReadyAt(service, model) ?? now);
     const isAwaitable = !hasReplica || expectedAt !== undefined;
     if (now < deadline && readyAt < deadline && isAwaitable) return undefined;
-    if (deadline === this.options.dispatchWindow.hostLimit(route.name)) {
+    if (deadline === this.options.dispatchWindow.hostLimit(request)) {
       return failure(drainingError(REQUEST_STEPS.place));
     }
     const retryAfter = hasReplica
@@ -332,12 +331,13 @@
   }
 
   /** Monotonic time until which a request may wait for an endpoint. */
-  private waitDeadline({route, arrivedAt, deadlineAt}: RoutedRequest): number {
+  private waitDeadline(request: RoutedRequest): number {
     const {dispatchWindow} = this.options;
+    const {callerTimeoutMilliseconds} = request.route;
     return Math.min(
-      dispatchWindow.deadlineLimit(route.name, deadlineAt),
-      arrivedAt + route.callerTimeoutMilliseconds * MAXIMUM_WAIT_SHARE,
-      dispatchWindow.hostLimit(route.name),
+      dispatchWindow.deadlineLimit(request),
+      request.arrivedAt + callerTimeoutMilliseconds * MAXIMUM_WAIT_SHARE,
+      dispatchWindow.hostLimit(request),
     );
   }
 
--- a/src/engines/removed_model_test.ts
+++ b/src/engines/removed_model_test.ts
@@ -115,7 +115,7 @@
         send: () => false,
         random: () => 0,
       }),
-      dispatchWindow: new DispatchWindow(new RunDurations()),
+      dispatchWindow: new DispatchWindow(new RunDurations(clock)),
       clock,
       dataCentre: 'zone-a',
       announceLeaving: () => undefined,
--- a/src/entry/_bind_requests.ts
+++ b/src/entry/_bind_requests.ts
@@ -32,7 +32,7 @@
   self: PeerIdentity,
 ): void {
   const {clock, logger, platform, settings} = context;
-  const runDurations = new RunDurations();
+  const runDurations = new RunDurations(clock);
   container
     .bind(DispatchWindow)
     .toConstantValue(new DispatchWindow(runDurations));
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -352,7 +352,7 @@
     const {clock, runDurations} = this.options;
     if (this.context.response.statusCode >= 300) return;
     const took = clock.monotonicMilliseconds() - this.sentAt;
-    runDurations.record(this.context.request.route.name, took);
+    runDurations.record(this.context.request, took);
   }
 
   private recordBegun(run: PromptPartRun): void {
--- a/src/relay/_find_too_late.ts
+++ b/src/relay/_find_too_late.ts
@@ -16,17 +16,16 @@
  * would be for nothing or be cut when this host stops; undefined if it may be sent.
  */
 export function findTooLate(
-  {route, deadlineAt}: RoutedRequest,
+  request: RoutedRequest,
   {
     clock,
     dispatchWindow,
   }: Pick<RequestRelayOptions, 'clock' | 'dispatchWindow'>,
 ): RequestError | undefined {
   const now = clock.monotonicMilliseconds();
-  if (now >= dispatchWindow.hostLimit(route.name))
+  if (now >= dispatchWindow.hostLimit(request))
     return drainingError(REQUEST_STEPS.dispatch);
-  if (now < dispatchWindow.deadlineLimit(route.name, deadlineAt))
-    return undefined;
+  if (now < dispatchWindow.deadlineLimit(request)) return undefined;
   return {
     ...dispatchError(
       REQUEST_ERROR_CODES.overloaded,
--- a/src/relay/dispatch_window.ts
+++ b/src/relay/dispatch_window.ts
@@ -1,4 +1,4 @@
-import type {RunDurations} from './run_durations.ts';
+import type {RunDurations, RunOrigin} from './run_durations.ts';
 
 /** Times at which a stopping host ends its work. */
 export interface DispatchWindowEnd {
@@ -26,16 +26,16 @@
   }
 
   /**
-   * Monotonic time from which requests of a route are left to other hosts; Infinity
-   * unless this host stops.
+   * Monotonic time from which a request is left to other hosts; Infinity unless this
+   * host stops.
    */
-  hostLimit(route: string): number {
+  hostLimit(request: RunOrigin): number {
     const {closesAt, runsEndAt} = this.end;
-    return Math.min(closesAt, runsEndAt - this.durations.longest(route));
+    return Math.min(closesAt, runsEndAt - this.durations.longest(request));
   }
 
   /** Monotonic time from which no endpoint can finish a request by its deadline. */
-  deadlineLimit(route: string, deadlineAt: number): number {
-    return deadlineAt - this.durations.shortest(route);
+  deadlineLimit(request: RunOrigin & {readonly deadlineAt: number}): number {
+    return request.deadlineAt - this.durations.shortest(request);
   }
 }
--- a/src/relay/mod.ts
+++ b/src/relay/mod.ts
@@ -49,4 +49,4 @@
   type FleetRetryBudgetOptions,
 } from './fleet_retry_budget.ts';
 export {DispatchWindow, type DispatchWindowEnd} from './dispatch_window.ts';
-export {RunDurations} from './run_durations.ts';
+export {RunDurations, type RunOrigin} from './run_durations.ts';
--- a/src/relay/request_relay.ts
+++ b/src/relay/request_relay.ts
@@ -134,10 +134,7 @@
     const admitted = this.admit(request, current, context);
     if ('code' in admitted) return admitted;
     const {clock, dispatchWindow} = this.options;
-    if (
-      clock.monotonicMilliseconds() >=
-      dispatchWindow.hostLimit(admitted.route.name)
-    )
+    if (clock.monotonicMilliseconds() >= dispatchWindow.hostLimit(admitted))
       return drainingError(REQUEST_STEPS.admit);
     const loop = new AttemptLoop(this.options, {
       request: admitted,
