--- a/src/engines/pool_manager.ts
+++ b/src/engines/pool_manager.ts
@@ -9,6 +9,7 @@
 import {describeReplicas, ReplicaAnnouncer} from './replica_announcer.ts';
 import {AdapterLoader} from './_adapter_loader.ts';
 import {demandByModel} from './_demand_by_model.ts';
+import {EngineReporter} from './_engine_reporter.ts';
 import {OrderDispatcher} from './_order_dispatcher.ts';
 import {snapshotEngines} from './_snapshot_engines.ts';
 import {splitTarget} from './_split_target.ts';
@@ -69,24 +70,6 @@
  */
 const BUSY_PRELOAD_CONCURRENCY = 2;
 
-/**
- * Time past the expected completion of an order after which a report is
- * requested from the engine.
- */
-const ORDER_SLACK_MILLISECONDS = 1500;
-
-/**
- * Time a request waits before the engines that should have its model are asked
- * for a report.
- */
-const RECHECK_AFTER_MILLISECONDS = 400;
-
-/** Minimum interval between such reports from one engine. */
-const RECHECK_INTERVAL_MILLISECONDS = 2000;
-
-/** Minimum interval between reports of an engine whose state is unknown. */
-const REPORT_PAUSE_MILLISECONDS = 400;
-
 const NO_FORECAST: LoadForecast = {
   readyIn: new Map(),
   remoteOnly: new Set(),
@@ -100,6 +83,7 @@
   private readonly rates = new ArrivalRates();
   private readonly unmet = new UnmetDemand();
   private readonly orders: OrderDispatcher;
+  private readonly reporter: EngineReporter;
   private readonly adapters: AdapterLoader;
   private readonly announcer: ReplicaAnnouncer;
   private budget: RemoteLoadBudget | undefined;
@@ -117,6 +101,18 @@
       isKnown: engine => this.engines.get(engine.record.id) === engine,
       onChange,
     });
+    this.reporter = new EngineReporter({
+      ...options,
+      signal: this.stopping.signal,
+      onReport: (engine, pending) =>
+        this.recordSettledOrder(
+          engine,
+          pending,
+          options.clock.monotonicMilliseconds(),
+        ),
+      onDropped: () => this.budget?.abandon(),
+      wake: () => this.wake(),
+    });
     this.adapters = new AdapterLoader({
       ...options,
       orders: this.orders,
@@ -195,7 +191,7 @@
       isLoaded: model => this.isLoaded(model),
       unmetOf: model => this.unmet.ageOf(model, now),
     });
-    this.recheckHolders(demand, now);
+    this.reporter.recheckHolders([...this.engines.values()], demand, now);
     const engines = snapshotEngines(
       this.engines.values(),
       inFlight,
@@ -284,7 +280,7 @@
       this.recordSettledOrder(known, pending, now);
     }
     for (const engine of this.engines.values())
-      this.requestReportIfNeeded(engine, now);
+      this.reporter.requestIfNeeded(engine, now);
   }
 
   /** Records the completion of an order. */
@@ -309,80 +305,6 @@
     this.wake();
   }
 
-  private requestReportIfNeeded(engine: EngineState, now: number): void {
-    const {pending} = engine;
-    const isOverdue =
-      pending !== undefined &&
-      now > pending.expectedAt + ORDER_SLACK_MILLISECONDS;
-    const isStateUnknown =
-      isOverdue || engine.needsReport || engine.isUnreachable;
-    if (isStateUnknown && !engine.isLocked) {
-      void this.requestReport(engine);
-    }
-  }
-
-  /**
-   * Requests a report from an engine whose state is unknown. No orders are sent
-   * to the engine meanwhile.
-   */
-  private async requestReport(engine: EngineState): Promise<void> {
-    const {control, logger, clock} = this.options;
-    engine.isLocked = true;
-    const report = await control.report(engine.record);
-    if (report.ok) {
-      const {pending} = engine;
-      const now = clock.monotonicMilliseconds();
-      const isCurrent = engine.applyReport(report.value);
-      this.recordSettledOrder(engine, pending, now);
-      if (isCurrent && !report.value.isBusy && engine.pending !== undefined) {
-        // The engine dropped the order or has not received it yet. In the
-        // latter case the next order that the engine accepts invalidates this
-        // one.
-        if (engine.pending.tier === 'remote') this.budget?.abandon();
-        engine.withdrawn.delete(engine.pending.model);
-        engine.pending = undefined;
-      }
-      if (engine.needsReport) await this.pauseBeforeNextReport();
-      engine.isLocked = false;
-      this.wake();
-      return;
-    } else {
-      engine.isUnreachable = true;
-      logger.event('engineReportFailed', {
-        endpoint: engine.record.id,
-        ...report.error,
-      });
-    }
-    await this.pauseBeforeNextReport();
-    engine.isLocked = false;
-  }
-
-  private pauseBeforeNextReport(): Promise<void> {
-    const {clock} = this.options;
-    return sleep(clock, REPORT_PAUSE_MILLISECONDS, this.stopping.signal);
-  }
-
-  /**
-   * Schedules reports from engines that should have a model loaded for which
-   * requests wait nevertheless.
-   */
-  private recheckHolders(
-    demand: ReadonlyMap<string, ModelDemand>,
-    now: number,
-  ): void {
-    for (const [model, {waiting, waitedMilliseconds}] of demand) {
-      if (waiting === 0 || waitedMilliseconds < RECHECK_AFTER_MILLISECONDS)
-        continue;
-      for (const engine of this.engines.values()) {
-        const isRecheckDue =
-          engine.models.has(model) && now >= engine.nextRecheckAt;
-        if (!isRecheckDue) continue;
-        engine.needsReport = true;
-        engine.nextRecheckAt = now + RECHECK_INTERVAL_MILLISECONDS;
-      }
-    }
-  }
-
   private preloadConcurrency(demand: ReadonlyMap<string, ModelDemand>): number {
     const hasWaitingRequests = [...demand.values()].some(
       ({waiting}) => waiting > 0,
