Resume streams that have begun whatever time is left

Found by reading the diff of the dispatch window: a stream that broke off and could be resumed was refused if less time was left than a whole run takes, although only the rest is owed; the same for repeats on a stopping host. Only requests that no endpoint can have run are refused for lack of time now. dispatch_window_test.ts, 'is resumed nevertheless if it has begun': failed before, passes.

--- a/src/entry/dispatch_window_test.ts
+++ b/src/entry/dispatch_window_test.ts
@@ -88,4 +88,45 @@
     const sound = await call(route, 'sound', RUN_MILLISECONDS * 3);
     expect(sound.status).toBe(200);
   });
+
+  // Guards against streams that are broken off although they could be resumed: the rest
+  // of a run takes less time than a whole one.
+  test('is resumed nevertheless if it has begun', async () => {
+    const engines = [];
+    for (const id of ['engine-1', 'engine-2']) {
+      const models = ['model-a'];
+      engines.push(await fleet.startEndpoint({id, service: 'engines', models}));
+    }
+    callerPort = (await fleet.startHost('host-1')).callerPort;
+    const draft = (id: string, deadlineMilliseconds: number) =>
+      send(callerPort, {
+        method: 'POST',
+        path: '/draft/x',
+        headers: {
+          'Request-Id': id,
+          Model: 'model-a',
+          'Deadline-Ms': String(deadlineMilliseconds),
+        },
+        body: id,
+      });
+    for (const engine of engines) engine.runMilliseconds = RUN_MILLISECONDS;
+    await Promise.all(
+      Array.from({length: EARLIER_RUNS}, (_unused, index) =>
+        draft(`earlier-${index}`, 3000),
+      ),
+    );
+    for (const engine of engines) {
+      engine.runMilliseconds = RUN_MILLISECONDS * 0.4;
+      engine.trouble = 'cuts_stream';
+      engine.troubles = 0;
+    }
+    // The endpoint that gets the request first cuts it.
+    engines[0]!.troubles = 1;
+    let answer = await draft('cut', RUN_MILLISECONDS * 1.2);
+    if (engines[0]!.troubles === 1)
+      answer = await draft('cut-next', RUN_MILLISECONDS * 1.2);
+    await fleet.waitForLines('host-1', 'streamResumed', 1);
+    expect(answer).toMatchObject({status: 200, isBroken: false});
+    expect(answer.body).toContain('event 3');
+  });
 });
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -104,9 +104,10 @@
       }
       if (run === undefined) continue;
       const tooLate = findTooLate(request, this.options);
-      if (tooLate !== undefined) {
+      // What has run may need less time than a whole run, and is owed an answer.
+      if (tooLate !== undefined && this.runCount === 0) {
         run.end();
-        return this.refuse(tooLate);
+        return tooLate;
       }
       const outcome = await this.attempt(acquired.value, run);
       if (outcome.kind === 'delivered' || callerLeft.aborted) return undefined;
