--- /dev/null
+++ b/review/2/case.ts
@@ -0,0 +1,103 @@
+import {PlatformEndpointStandIn} from '../../src/testing/platform_endpoint_stand_in.ts';
+import {GRAIN_CHAT, StreamClients} from '../lib/chat_clients.ts';
+import {
+  kaplamaConfiguration,
+  ORDER_TIMEOUT_MILLISECONDS,
+} from '../lib/configuration.ts';
+import {pause, runCase} from '../lib/deployment.ts';
+import {FloodingEngine} from '../lib/flooding_engine.ts';
+import {OrderClients} from '../lib/order_clients.ts';
+
+const MODEL = 'daka510000';
+
+/** Work of an order; the mean of the site is 42.9 ms, the largest 220 ms. */
+const ORDER_MILLISECONDS = 100;
+
+/** Part of all traffic that one of the two hosts gets. */
+const HOST_SHARE = 0.5;
+
+/** Time that the rule allows after the route's time-out. */
+const EXTRA_MILLISECONDS = 500;
+
+let troubled: FloodingEngine | undefined;
+
+await runCase({
+  folder: 'review/2',
+  hostCount: 2,
+  configuration: kaplamaConfiguration(),
+  prepare: async ({store, recorder, atEnd}) => {
+    const engine = await PlatformEndpointStandIn.start(
+      {
+        id: 'i-sound-engine',
+        service: 'dil-model',
+        dataCentre: 'ist-a',
+        models: [MODEL],
+      },
+      store,
+    );
+    atEnd(() => engine.stop());
+    const flooding = await FloodingEngine.start(
+      {
+        id: 'i-troubled-engine',
+        model: MODEL,
+        zone: 'ist-a',
+        status: '200 OK',
+        start: 'id: 1\ndata: ',
+        record: line => recorder.add(line),
+      },
+      store,
+    );
+    troubled = flooding;
+    atEnd(() => flooding.stop());
+    for (const id of ['i-app-1', 'i-app-2']) {
+      const application = await PlatformEndpointStandIn.start(
+        {id, service: 'katalog-app'},
+        store,
+      );
+      application.runMilliseconds = ORDER_MILLISECONDS;
+      atEnd(() => application.stop());
+    }
+  },
+  play: async ({hosts, recorder, hasTrouble}) => {
+    const [host] = hosts;
+    if (host === undefined || troubled === undefined)
+      throw new Error('no host');
+    const target = {
+      host: host.settings.ip,
+      port: host.settings.ports.callers,
+    };
+    const orders = new OrderClients(target, 'host-1', recorder);
+    const chats = new StreamClients(target, 'host-1', recorder);
+    orders.start(4);
+    chats.start(GRAIN_CHAT, HOST_SHARE);
+    await pause(8000);
+    if (hasTrouble) {
+      recorder.add('i-troubled-engine gets into trouble');
+      troubled.isInTrouble = true;
+    }
+    await pause(20_000);
+    recorder.add('the trouble ends');
+    troubled.isInTrouble = false;
+    await pause(2000);
+    chats.stop();
+    orders.stop();
+    await pause(ORDER_TIMEOUT_MILLISECONDS + 1000);
+    const late = orders.orders.filter(
+      ({sentAt, answeredAt = Infinity}) =>
+        answeredAt - sentAt > ORDER_TIMEOUT_MILLISECONDS,
+    );
+    const later = late.filter(
+      ({sentAt, answeredAt = Infinity}) =>
+        answeredAt - sentAt > ORDER_TIMEOUT_MILLISECONDS + EXTRA_MILLISECONDS,
+    );
+    const waits = later.map(({sentAt, answeredAt}) =>
+      answeredAt === undefined ? 'none' : Math.round(answeredAt - sentAt),
+    );
+    recorder.add(
+      `${orders.orders.length} orders sent, ${late.length} unanswered at the ` +
+        `time-out of their route, ${later.length} of them half a second later`,
+    );
+    recorder.add(`milliseconds until their answers: ${waits.join(', ')}`);
+    return late.length > 0 && later.length > late.length / 2;
+  },
+});
