--- a/review/1/case.ts
+++ b/review/1/case.ts
@@ -7,8 +7,9 @@
 } from '../lib/chat_clients.ts';
 import {kaplamaConfiguration} from '../lib/configuration.ts';
 import {pause, runCase} from '../lib/deployment.ts';
-import {FloodingEngine} from '../lib/flooding_engine.ts';
+import {startFloodingEngine} from '../lib/flooding_engine.ts';
 import {OrderClients} from '../lib/order_clients.ts';
+import type {RawEndpoint} from '../lib/raw_endpoint.ts';
 
 const MODEL = 'daka510000';
 
@@ -32,7 +33,7 @@
 
 const PLAY_MILLISECONDS = 20_000;
 
-let troubled: FloodingEngine | undefined;
+let troubled: RawEndpoint | undefined;
 const soundEngines: PlatformEndpointStandIn[] = [];
 
 await runCase({
@@ -52,7 +53,7 @@
     engine.runMilliseconds = STREAM_MILLISECONDS;
     soundEngines.push(engine);
     atEnd(() => engine.stop());
-    const flooding = await FloodingEngine.start(
+    const flooding = await startFloodingEngine(
       {
         id: 'i-troubled-engine',
         model: MODEL,
--- a/review/2/case.ts
+++ b/review/2/case.ts
@@ -5,8 +5,9 @@
   ORDER_TIMEOUT_MILLISECONDS,
 } from '../lib/configuration.ts';
 import {pause, runCase} from '../lib/deployment.ts';
-import {FloodingEngine} from '../lib/flooding_engine.ts';
-import {OrderClients} from '../lib/order_clients.ts';
+import {startFloodingEngine} from '../lib/flooding_engine.ts';
+import {findLateOrders, OrderClients} from '../lib/order_clients.ts';
+import type {RawEndpoint} from '../lib/raw_endpoint.ts';
 
 const MODEL = 'daka510000';
 
@@ -16,10 +17,7 @@
 /** Part of all traffic that one of the two hosts gets. */
 const HOST_SHARE = 0.5;
 
-/** Time that the rule allows after the route's time-out. */
-const EXTRA_MILLISECONDS = 500;
-
-let troubled: FloodingEngine | undefined;
+let troubled: RawEndpoint | undefined;
 
 await runCase({
   folder: 'review/2',
@@ -36,7 +34,7 @@
       store,
     );
     atEnd(() => engine.stop());
-    const flooding = await FloodingEngine.start(
+    const flooding = await startFloodingEngine(
       {
         id: 'i-troubled-engine',
         model: MODEL,
@@ -82,22 +80,7 @@
     chats.stop();
     orders.stop();
     await pause(ORDER_TIMEOUT_MILLISECONDS + 1000);
-    const late = orders.orders.filter(
-      ({sentAt, answeredAt = Infinity}) =>
-        answeredAt - sentAt > ORDER_TIMEOUT_MILLISECONDS,
-    );
-    const later = late.filter(
-      ({sentAt, answeredAt = Infinity}) =>
-        answeredAt - sentAt > ORDER_TIMEOUT_MILLISECONDS + EXTRA_MILLISECONDS,
-    );
-    const waits = later.map(({sentAt, answeredAt}) =>
-      answeredAt === undefined ? 'none' : Math.round(answeredAt - sentAt),
-    );
-    recorder.add(
-      `${orders.orders.length} orders sent, ${late.length} unanswered at the ` +
-        `time-out of their route, ${later.length} of them half a second later`,
-    );
-    recorder.add(`milliseconds until their answers: ${waits.join(', ')}`);
+    const {late, later} = findLateOrders(orders.orders, recorder);
     return late.length > 0 && later.length > late.length / 2;
   },
 });
--- a/review/lib/order_clients.ts
+++ b/review/lib/order_clients.ts
@@ -121,3 +121,30 @@
     connection.on('error', () => resolve(undefined));
   });
 }
+
+/** Time that the rule allows after the route's time-out. */
+const EXTRA_MILLISECONDS = 500;
+
+/** Orders without an answer at their route's time-out, and half a second later. */
+export function findLateOrders(
+  orders: readonly SentOrder[],
+  recorder: Recorder,
+): {late: readonly SentOrder[]; later: readonly SentOrder[]} {
+  const waits = ({sentAt, answeredAt = Infinity}: SentOrder) =>
+    answeredAt - sentAt;
+  const late = orders.filter(
+    order => waits(order) > ORDER_TIMEOUT_MILLISECONDS,
+  );
+  const later = late.filter(
+    order => waits(order) > ORDER_TIMEOUT_MILLISECONDS + EXTRA_MILLISECONDS,
+  );
+  recorder.add(
+    `${orders.length} orders sent, ${late.length} unanswered at the time-out of ` +
+      `their route, ${later.length} of them half a second later`,
+  );
+  const shown = later.map(order =>
+    order.answeredAt === undefined ? 'none' : Math.round(waits(order)),
+  );
+  recorder.add(`milliseconds until their answers: ${shown.join(', ')}`);
+  return {late, later};
+}
