--- a/review/lib/configuration.ts
+++ b/review/lib/configuration.ts
@@ -98,7 +98,7 @@
             name,
             weights_mb: 72_700,
             load_time_s: 6,
-            adapters: 12,
+            adapters: 32,
             adapter_mb: 66,
             warm_s: 0.63,
             disk_s: 0.84,
