--- a/review/1/case.ts
+++ b/review/1/case.ts
@@ -1,131 +1,109 @@
 import {connect} from 'node:net';
 import {HOST_NAME, kaplamaConfiguration, KEY} from '../lib/configuration.ts';
-import {type CaseDeployment, pause, runCase} from '../lib/deployment.ts';
+import {pause, type Recorder, runCase} from '../lib/deployment.ts';
 import {ownHeaders, RawEndpoint} from '../lib/raw_endpoint.ts';
 
-const MODEL = 'daka510000';
+/** Body of an answer; the mean of the site is 800 bytes. */
+const BODY = 'x'.repeat(800);
 
-/** Events of a stream, as the mean of the site. */
-const EVENTS = 58;
+/** Work of an order; the mean of the site. */
+const ORDER_MILLISECONDS = 43;
 
-/** Pause between two events. */
-const PAUSE_MILLISECONDS = 50;
+/** Time between two orders, as on the site (6.89 a second). */
+const INTERVAL_MILLISECONDS = 145;
 
-const STREAMS = 6;
+const PLAY_MILLISECONDS = 70_000;
 
-/** Time after the start of the streams at which the process is killed. */
-const KILL_MILLISECONDS = 1200;
+/** One answer in so many breaks off (`x` of `garble` is 0.02). */
+const BREAK_INTERVAL = 50;
 
-/** A stream as its client has got it. */
-interface ReceivedStream {
-  readonly id: string;
-  received: string;
-  end: 'end of the connection' | 'reset' | 'none';
-}
+let count = 0;
+let hasTrouble = false;
 
 await runCase({
   folder: 'review/1',
   hostCount: 2,
   configuration: kaplamaConfiguration(),
-  prepare: async ({store, recorder, atEnd}) => {
-    const engine = await RawEndpoint.start(
+  prepare: async deployment => {
+    const {store, recorder, atEnd} = deployment;
+    hasTrouble = deployment.hasTrouble;
+    const application = await RawEndpoint.start(
       {
-        id: 'i-engine-1',
-        service: 'dil-model',
+        id: 'i-app-1',
+        service: 'katalog-app',
         zone: 'ist-a',
-        slots: 64,
-        models: [MODEL],
+        slots: 6,
         record: line => recorder.add(line),
         misbehave: ({connection}) => connection.destroy(),
         answer: ({id, connection}) => {
-          connection.write(
-            `HTTP/1.1 200 OK\r\n${ownHeaders(id)}` +
-              'Content-Type: text/event-stream\r\nConnection: close\r\n\r\n',
-          );
-          let sent = 0;
-          const timer = setInterval(() => {
-            if (connection.destroyed) {
-              clearInterval(timer);
+          const breaks = hasTrouble && ++count % BREAK_INTERVAL === 0;
+          setTimeout(() => {
+            const head = `HTTP/1.1 200 OK\r\n${ownHeaders(id)}Connection: close\r\n\r\n`;
+            if (!breaks) {
+              connection.end(head + BODY);
               return;
             }
-            connection.write(`id: ${++sent}\ndata: ${'x'.repeat(40)}\n\n`);
-            if (sent < EVENTS) return;
-            clearInterval(timer);
-            connection.end();
-          }, PAUSE_MILLISECONDS);
+            recorder.add(`i-app-1 breaks off its answer to ${id} with a reset`);
+            connection.write(head + BODY.slice(0, BODY.length / 2));
+            connection.resetAndDestroy();
+          }, ORDER_MILLISECONDS);
         },
       },
       store,
     );
-    atEnd(() => engine.stop());
+    atEnd(() => application.stop());
   },
-  play: async ({hosts, recorder, hasTrouble}) => {
+  play: async ({hosts, recorder}) => {
     const [host] = hosts;
     if (host === undefined) throw new Error('no host');
-    const {ip, ports} = host.settings;
-    const streams = Array.from({length: STREAMS}, (_unused, index) =>
-      openStream({host: ip, port: ports.callers}, `chat-${index}`, recorder),
-    );
-    await pause(KILL_MILLISECONDS);
-    if (hasTrouble) host.signal('SIGKILL');
-    await pause(EVENTS * PAUSE_MILLISECONDS + 2000);
-    const broken = streams.filter(stream => looksComplete(stream, recorder));
+    const target = {
+      host: host.settings.ip,
+      port: host.settings.ports.callers,
+    };
+    const answers: Promise<boolean>[] = [];
+    const orders = Math.floor(PLAY_MILLISECONDS / INTERVAL_MILLISECONDS);
+    for (let index = 0; index < orders; index++) {
+      answers.push(getsPartAsWhole(target, `order-${index}`, recorder));
+      await pause(INTERVAL_MILLISECONDS);
+    }
+    const wrong = (await Promise.all(answers)).filter(isWrong => isWrong);
     recorder.add(
-      `${STREAMS} streams of ${EVENTS} events, ${broken.length} of them look ` +
-        'complete to their clients without being so',
+      `${orders} orders, ${wrong.length} got a part of an answer as a whole one`,
     );
-    return broken.length > 0;
+    return wrong.length > 0;
   },
 });
 
-function openStream(
+/** Sends an order; whether its client gets a part of the answer as a whole one. */
+function getsPartAsWhole(
   target: {host: string; port: number},
   id: string,
-  recorder: CaseDeployment['recorder'],
-): ReceivedStream {
-  const stream: ReceivedStream = {id, received: '', end: 'none'};
-  recorder.add(`client sends ${id}`);
-  const connection = connect(target);
-  connection.on('data', (bytes: Buffer) => {
-    stream.received += bytes.toString();
-  });
-  connection.once('end', () => {
-    stream.end = 'end of the connection';
-  });
-  connection.once('error', () => {
-    stream.end = 'reset';
+  recorder: Recorder,
+): Promise<boolean> {
+  return new Promise(resolve => {
+    const connection = connect(target);
+    let received = '';
+    const finish = (end: string) => {
+      connection.destroy();
+      const headEnd = received.indexOf('\r\n\r\n');
+      const [status = 'no answer'] = received.split('\r\n', 1);
+      const bytes = headEnd < 0 ? 0 : received.length - headEnd - 4;
+      recorder.add(`client gets "${status}", ${bytes} bytes for ${id}, ${end}`);
+      const isSuccess = status.startsWith('HTTP/1.1 200');
+      const isReset = end === 'reset';
+      resolve(isSuccess && !isReset && bytes < BODY.length);
+    };
+    connection.setTimeout(5000, () => finish('no end'));
+    connection.on('data', (bytes: Buffer) => {
+      received += bytes.toString('latin1');
+      const isEmpty = /\r\ncontent-length: 0\r\n/i.test(received);
+      if (isEmpty) finish('whole');
+    });
+    connection.once('end', () => finish('end of the connection'));
+    connection.once('error', () => finish('reset'));
+    connection.write(
+      `POST /order/2f HTTP/1.1\r\nHost: ${HOST_NAME}\r\nRequest-Id: ${id}\r\n` +
+        `X-Api-Key: ${KEY}\r\nDeadline-Ms: 1000\r\nContent-Length: 4\r\n\r\nbody`,
+    );
   });
-  connection.write(
-    `POST /chat/2f HTTP/1.1\r\nHost: ${HOST_NAME}\r\nRequest-Id: ${id}\r\n` +
-      `X-Api-Key: ${KEY}\r\nModel: ${MODEL}\r\nToken-Usage: 826,290\r\n` +
-      `Prompt-Prefix: a1:119,b2:79,${id.replaceAll(/\D/g, 'c')}:628\r\n` +
-      'Deadline-Ms: 12000\r\nContent-Length: 4\r\n\r\nbody',
-  );
-  return stream;
-}
-
-/** Whether a stream without all events has ended as a complete one does. */
-function looksComplete(
-  {id, received, end}: ReceivedStream,
-  recorder: CaseDeployment['recorder'],
-): boolean {
-  const headEnd = received.indexOf('\r\n\r\n');
-  const head = received.slice(0, Math.max(0, headEnd)).toLowerCase();
-  const body = received.slice(headEnd + 4);
-  const isUnframed =
-    head.startsWith('http/1.1 200') &&
-    !head.includes('content-length') &&
-    !head.includes('transfer-encoding');
-  const events = (body.match(/^id: /gm) ?? []).length;
-  const endsInEvent = !body.endsWith('\n\n');
-  const isChunkedWhole = body.endsWith('0\r\n\r\n');
-  recorder.add(
-    `${id}: ${events} of ${EVENTS} events, ` +
-      `${isUnframed ? 'no length and no chunks' : 'framed'}, ends by ${end}` +
-      (endsInEvent && isUnframed ? ', inside an event' : ''),
-  );
-  if (events === EVENTS) return false;
-  return isUnframed
-    ? end === 'end of the connection' && !endsInEvent
-    : isChunkedWhole;
 }
--- a/review/2/case.ts
+++ b/review/2/case.ts
@@ -1,134 +1,131 @@
-import {PlatformEndpointStandIn} from '../../src/testing/platform_endpoint_stand_in.ts';
-import {
-  GRAIN_CHAT,
-  QUOTE_DRAFT,
-  SPECIES_TAG,
-  StreamClients,
-} from '../lib/chat_clients.ts';
-import {kaplamaConfiguration} from '../lib/configuration.ts';
-import {pause, runCase} from '../lib/deployment.ts';
-import {startFloodingEngine} from '../lib/flooding_engine.ts';
-import {OrderClients} from '../lib/order_clients.ts';
-import type {RawEndpoint} from '../lib/raw_endpoint.ts';
+import {connect} from 'node:net';
+import {HOST_NAME, kaplamaConfiguration, KEY} from '../lib/configuration.ts';
+import {type CaseDeployment, pause, runCase} from '../lib/deployment.ts';
+import {ownHeaders, RawEndpoint} from '../lib/raw_endpoint.ts';
 
 const MODEL = 'daka510000';
 
-/** Work of an order; the mean of the site is 42.9 ms, the largest 220 ms. */
-const ORDER_MILLISECONDS = 200;
+/** Events of a stream, as the mean of the site. */
+const EVENTS = 58;
 
-/** Run of a sound stream; 58 events in steps of 26 ms. */
-const STREAM_MILLISECONDS = 1500;
+/** Pause between two events. */
+const PAUSE_MILLISECONDS = 50;
 
-/** Orders at a time; the two applications have 6 slots each. */
-const ORDER_CLIENTS = 12;
+const STREAMS = 6;
 
-/** Pause of the platform before it starts a process again. */
-const RESTART_MILLISECONDS = 500;
+/** Time after the start of the streams at which the process is killed. */
+const KILL_MILLISECONDS = 1200;
 
-/** Number of requests that the rule allows to be lost. */
-const ALLOWED = 3;
-
-/** Part of all traffic that one of the two hosts gets. */
-const HOST_SHARE = 0.5;
-
-const PLAY_MILLISECONDS = 20_000;
-
-let troubled: RawEndpoint | undefined;
-const soundEngines: PlatformEndpointStandIn[] = [];
+/** A stream as its client has got it. */
+interface ReceivedStream {
+  readonly id: string;
+  received: string;
+  end: 'end of the connection' | 'reset' | 'none';
+}
 
 await runCase({
   folder: 'review/2',
   hostCount: 2,
   configuration: kaplamaConfiguration(),
   prepare: async ({store, recorder, atEnd}) => {
-    const engine = await PlatformEndpointStandIn.start(
+    const engine = await RawEndpoint.start(
       {
-        id: 'i-sound-engine',
+        id: 'i-engine-1',
         service: 'dil-model',
-        dataCentre: 'ist-a',
-        models: [MODEL],
-      },
-      store,
-    );
-    engine.runMilliseconds = STREAM_MILLISECONDS;
-    soundEngines.push(engine);
-    atEnd(() => engine.stop());
-    const flooding = await startFloodingEngine(
-      {
-        id: 'i-troubled-engine',
-        model: MODEL,
         zone: 'ist-a',
-        status: '500 Internal Server Error',
-        start: '',
+        slots: 64,
+        models: [MODEL],
         record: line => recorder.add(line),
+        misbehave: ({connection}) => connection.destroy(),
+        answer: ({id, connection}) => {
+          connection.write(
+            `HTTP/1.1 200 OK\r\n${ownHeaders(id)}` +
+              'Content-Type: text/event-stream\r\nConnection: close\r\n\r\n',
+          );
+          let sent = 0;
+          const timer = setInterval(() => {
+            if (connection.destroyed) {
+              clearInterval(timer);
+              return;
+            }
+            connection.write(`id: ${++sent}\ndata: ${'x'.repeat(40)}\n\n`);
+            if (sent < EVENTS) return;
+            clearInterval(timer);
+            connection.end();
+          }, PAUSE_MILLISECONDS);
+        },
       },
       store,
     );
-    troubled = flooding;
-    atEnd(() => flooding.stop());
-    for (const id of ['i-app-1', 'i-app-2']) {
-      const application = await PlatformEndpointStandIn.start(
-        {id, service: 'katalog-app'},
-        store,
-      );
-      application.runMilliseconds = ORDER_MILLISECONDS;
-      soundEngines.push(application);
-      atEnd(() => application.stop());
-    }
+    atEnd(() => engine.stop());
   },
   play: async ({hosts, recorder, hasTrouble}) => {
-    if (troubled === undefined) throw new Error('no engine');
-    const orders: OrderClients[] = [];
-    const streams: StreamClients[] = [];
-    for (const {settings} of hosts) {
-      const target = {host: settings.ip, port: settings.ports.callers};
-      const clients = new OrderClients(target, settings.nodeName, recorder);
-      clients.start(ORDER_CLIENTS);
-      orders.push(clients);
-      const streaming = new StreamClients(target, settings.nodeName, recorder);
-      for (const kind of [GRAIN_CHAT, QUOTE_DRAFT, SPECIES_TAG])
-        streaming.start(kind, HOST_SHARE);
-      streams.push(streaming);
-    }
-    await pause(4000);
-    if (hasTrouble) {
-      recorder.add('i-troubled-engine gets into trouble');
-      troubled.isInTrouble = true;
-    }
-    let ends = 0;
-    for (let waited = 0; waited < PLAY_MILLISECONDS; waited += 250) {
-      await pause(250);
-      for (const host of hosts) {
-        host.enforceMemoryLimit();
-        if (host.ended === undefined) continue;
-        ends++;
-        await pause(RESTART_MILLISECONDS);
-        host.start(false);
-      }
-    }
-    for (const clients of [...orders, ...streams]) clients.stop();
-    await pause(3000);
-    const ranSoundly = new Set(
-      soundEngines.flatMap(({ran}) =>
-        ran.map(({headers}) => String(headers['request-id'])),
-      ),
-    );
-    const sent = [
-      ...orders.flatMap(clients => clients.orders),
-      ...streams.flatMap(clients => clients.sent),
-    ];
-    const lost = sent.filter(
-      ({id, isOnKeptConnection, isUnanswered}) =>
-        isUnanswered && isOnKeptConnection && ranSoundly.has(id),
+    const [host] = hosts;
+    if (host === undefined) throw new Error('no host');
+    const {ip, ports} = host.settings;
+    const streams = Array.from({length: STREAMS}, (_unused, index) =>
+      openStream({host: ip, port: ports.callers}, `chat-${index}`, recorder),
     );
+    await pause(KILL_MILLISECONDS);
+    if (hasTrouble) host.signal('SIGKILL');
+    await pause(EVENTS * PAUSE_MILLISECONDS + 2000);
+    const broken = streams.filter(stream => looksComplete(stream, recorder));
     recorder.add(
-      `${sent.length} requests sent; of those on kept connections that reached a ` +
-        `sound engine, ${lost.length} had their connection closed without an ` +
-        `answer: ${lost.map(({id}) => id).join(', ')}`,
+      `${STREAMS} streams of ${EVENTS} events, ${broken.length} of them look ` +
+        'complete to their clients without being so',
     );
-    recorder.add(
-      `processes ended by themselves or for their memory ${ends} times`,
-    );
-    return lost.length > ALLOWED;
+    return broken.length > 0;
   },
 });
+
+function openStream(
+  target: {host: string; port: number},
+  id: string,
+  recorder: CaseDeployment['recorder'],
+): ReceivedStream {
+  const stream: ReceivedStream = {id, received: '', end: 'none'};
+  recorder.add(`client sends ${id}`);
+  const connection = connect(target);
+  connection.on('data', (bytes: Buffer) => {
+    stream.received += bytes.toString();
+  });
+  connection.once('end', () => {
+    stream.end = 'end of the connection';
+  });
+  connection.once('error', () => {
+    stream.end = 'reset';
+  });
+  connection.write(
+    `POST /chat/2f HTTP/1.1\r\nHost: ${HOST_NAME}\r\nRequest-Id: ${id}\r\n` +
+      `X-Api-Key: ${KEY}\r\nModel: ${MODEL}\r\nToken-Usage: 826,290\r\n` +
+      `Prompt-Prefix: a1:119,b2:79,${id.replaceAll(/\D/g, 'c')}:628\r\n` +
+      'Deadline-Ms: 12000\r\nContent-Length: 4\r\n\r\nbody',
+  );
+  return stream;
+}
+
+/** Whether a stream without all events has ended as a complete one does. */
+function looksComplete(
+  {id, received, end}: ReceivedStream,
+  recorder: CaseDeployment['recorder'],
+): boolean {
+  const headEnd = received.indexOf('\r\n\r\n');
+  const head = received.slice(0, Math.max(0, headEnd)).toLowerCase();
+  const body = received.slice(headEnd + 4);
+  const isUnframed =
+    head.startsWith('http/1.1 200') &&
+    !head.includes('content-length') &&
+    !head.includes('transfer-encoding');
+  const events = (body.match(/^id: /gm) ?? []).length;
+  const endsInEvent = !body.endsWith('\n\n');
+  const isChunkedWhole = body.endsWith('0\r\n\r\n');
+  recorder.add(
+    `${id}: ${events} of ${EVENTS} events, ` +
+      `${isUnframed ? 'no length and no chunks' : 'framed'}, ends by ${end}` +
+      (endsInEvent && isUnframed ? ', inside an event' : ''),
+  );
+  if (events === EVENTS) return false;
+  return isUnframed
+    ? end === 'end of the connection' && !endsInEvent
+    : isChunkedWhole;
+}
--- a/review/lib/chat_clients.ts
+++ b/review/lib/chat_clients.ts
@@ -10,8 +10,6 @@
   readonly deadlineMilliseconds: number;
   /** Gap after which its clients give up. */
   readonly patienceMilliseconds: number;
-  /** One request in so many uses an adapter, where the case has adapters. */
-  readonly adapterInterval: number;
 }
 
 /** `grain-chat`: clients leave after a gap of two seconds. */
@@ -21,7 +19,6 @@
   perSecond: 20.7,
   deadlineMilliseconds: 12_000,
   patienceMilliseconds: 2000,
-  adapterInterval: 10,
 };
 
 /** `species-tag`: clients leave after a gap of two seconds. */
@@ -31,7 +28,6 @@
   perSecond: 3.87,
   deadlineMilliseconds: 3000,
   patienceMilliseconds: 2000,
-  adapterInterval: 2,
 };
 
 /** `quote-draft`: clients leave after a gap of four times the objective of 2,500 ms. */
@@ -41,7 +37,6 @@
   perSecond: 3.13,
   deadlineMilliseconds: 25_000,
   patienceMilliseconds: 10_000,
-  adapterInterval: Number.POSITIVE_INFINITY,
 };
 
 /** Sessions of the clients, as on the site. */
@@ -56,9 +51,6 @@
   isUnanswered: boolean;
 }
 
-/** Adapters of the model. */
-const ADAPTERS = 32;
-
 /** Clients that send streaming requests at a steady rate, on kept connections. */
 export class StreamClients {
   readonly sent: SentStream[] = [];
@@ -70,7 +62,6 @@
     private readonly target: {host: string; port: number},
     private readonly host: string,
     private readonly recorder: Recorder,
-    private readonly usesAdapters = false,
   ) {}
 
   /** Starts to send a share of the requests of a kind. */
@@ -89,13 +80,6 @@
     const id = `${kind.name}-${number}-${this.host}`;
     // A part that many share, a session's, and the request's own.
     const parts = `a${number % 3}:119,b${number % SESSIONS}:79,c${number}:628`;
-    const adapter = (number / kind.adapterInterval) % ADAPTERS;
-    const model =
-      this.usesAdapters &&
-      kind.adapterInterval < Infinity &&
-      Number.isInteger(adapter)
-        ? `daka510000/a${adapter + 1}`
-        : 'daka510000';
     const stream = {id, isOnKeptConnection: false, isUnanswered: false};
     this.sent.push(stream);
     this.recorder.add(`client sends ${id}`);
@@ -108,7 +92,7 @@
         Host: HOST_NAME,
         'Request-Id': id,
         'X-Api-Key': KEY,
-        Model: model,
+        Model: 'daka510000',
         'Token-Usage': '826,290',
         'Prompt-Prefix': parts,
         'Deadline-Ms': String(kind.deadlineMilliseconds),
