--- a/review/lib/chat_clients.ts
+++ b/review/lib/chat_clients.ts
@@ -1,5 +1,5 @@
 import {Agent, request} from 'node:http';
-import {HOST_NAME, KEY} from './configuration.ts';
+import {BUSY_MODEL, HOST_NAME, KEY, RARE_MODEL} from './configuration.ts';
 import type {Recorder} from './deployment.ts';
 
 /** A kind of streaming request of the site kaplama-ist. */
@@ -10,6 +10,7 @@
   readonly deadlineMilliseconds: number;
   /** Gap after which its clients give up. */
   readonly patienceMilliseconds: number;
+  readonly model: string;
 }
 
 /** `grain-chat`: clients leave after a gap of two seconds. */
@@ -19,6 +20,7 @@
   perSecond: 20.7,
   deadlineMilliseconds: 12_000,
   patienceMilliseconds: 2000,
+  model: BUSY_MODEL,
 };
 
 /** `species-tag`: clients leave after a gap of two seconds. */
@@ -28,6 +30,7 @@
   perSecond: 3.87,
   deadlineMilliseconds: 3000,
   patienceMilliseconds: 2000,
+  model: BUSY_MODEL,
 };
 
 /** `quote-draft`: clients leave after a gap of four times the objective of 2,500 ms. */
@@ -37,6 +40,7 @@
   perSecond: 3.13,
   deadlineMilliseconds: 25_000,
   patienceMilliseconds: 10_000,
+  model: RARE_MODEL,
 };
 
 /** Sessions of the clients, as on the site. */
@@ -92,7 +96,7 @@
         Host: HOST_NAME,
         'Request-Id': id,
         'X-Api-Key': KEY,
-        Model: 'daka510000',
+        Model: kind.model,
         'Token-Usage': '826,290',
         'Prompt-Prefix': parts,
         'Deadline-Ms': String(kind.deadlineMilliseconds),
--- a/review/lib/configuration.ts
+++ b/review/lib/configuration.ts
@@ -1,6 +1,12 @@
 /** Key of the only tenant. */
 export const KEY = 'i9n73hh2b9wu3fexd9dn';
 
+/** Model that chats ask for. */
+export const BUSY_MODEL = 'daka510000';
+
+/** Model that only quote drafts ask for. */
+export const RARE_MODEL = 'rada7437b5';
+
 /** Host name of all routes. */
 export const HOST_NAME = 'ficu95.example';
 
@@ -94,7 +100,7 @@
           loads_per_s: 3.3,
           host_mb: 140_000,
           disk_mb: 1_200_000,
-          models: ['daka510000'].map(name => ({
+          models: [BUSY_MODEL, RARE_MODEL].map(name => ({
             name,
             weights_mb: 72_700,
             load_time_s: 6,
--- a/review/lib/flooding_engine.ts
+++ b/review/lib/flooding_engine.ts
@@ -11,6 +11,8 @@
   readonly status: string;
   /** First bytes of the body. */
   readonly start: string;
+  /** Bytes a second of each answer; as many as are read when left out. */
+  readonly bytesPerSecond?: number;
   readonly record: (line: string) => void;
 }
 
@@ -19,6 +21,8 @@
 
 const BLOCK_BYTES = 64 * 1024;
 
+const INTERVAL_MILLISECONDS = 20;
+
 /**
  * Starts a model engine that answers soundly until it is in trouble. It then sends a
  * proper head and bytes without end, in chunks as large as its usual pieces, until its
@@ -51,7 +55,7 @@
           `HTTP/1.1 ${status}\r\n${headers(request.id)}` +
             (start === '' ? '' : chunkOf(start)),
         );
-        flood(request.connection);
+        flood(request.connection, options.bytesPerSecond);
       },
     },
     store,
@@ -62,8 +66,18 @@
   return `${text.length.toString(16)}\r\n${text}\r\n`;
 }
 
-function flood(connection: Socket): void {
+function flood(connection: Socket, bytesPerSecond: number | undefined): void {
   const chunk = chunkOf('x'.repeat(PIECE_BYTES));
+  if (bytesPerSecond !== undefined) {
+    const chunks =
+      (bytesPerSecond * INTERVAL_MILLISECONDS) / 1000 / PIECE_BYTES;
+    const bytes = Buffer.from(chunk.repeat(Math.round(chunks)));
+    const timer = setInterval(() => {
+      if (connection.destroyed) clearInterval(timer);
+      else if (connection.writableLength === 0) connection.write(bytes);
+    }, INTERVAL_MILLISECONDS);
+    return;
+  }
   const block = Buffer.from(
     chunk.repeat(Math.ceil(BLOCK_BYTES / chunk.length)),
   );
--- a/review/lib/raw_endpoint.ts
+++ b/review/lib/raw_endpoint.ts
@@ -22,13 +22,24 @@
   readonly record: (line: string) => void;
 }
 
+/** Time of a load from disk, as on the site. */
+const LOAD_MILLISECONDS = 840;
+
 /** Endpoint that writes the bytes of its answers itself. */
 export class RawEndpoint {
   isInTrouble = false;
+  private readonly models: Set<string>;
+  private readonly startedAt = Date.now();
+  private acceptedOrders = 0;
+  private isBusy = false;
   private readonly connections = new Set<Socket>();
   private readonly server: Server;
 
-  private constructor(private readonly options: RawEndpointOptions) {
+  private constructor(
+    private readonly options: RawEndpointOptions,
+    private readonly store: PlatformStoreStandIn,
+  ) {
+    this.models = new Set(options.models ?? []);
     this.server = createServer(connection => this.serve(connection));
   }
 
@@ -37,38 +48,47 @@
     options: RawEndpointOptions,
     store: PlatformStoreStandIn,
   ): Promise<RawEndpoint> {
-    const endpoint = new RawEndpoint(options);
+    const endpoint = new RawEndpoint(options, store);
     await new Promise<void>(resolve =>
       endpoint.server.listen(0, '127.0.0.1', resolve),
     );
-    const address = endpoint.server.address();
+    endpoint.register();
+    return endpoint;
+  }
+
+  /** Ends the endpoint. */
+  stop(): void {
+    this.server.close();
+    for (const connection of this.connections) connection.destroy();
+  }
+
+  private register(): void {
+    const address = this.server.address();
     const port =
       typeof address === 'object' && address !== null ? address.port : 0;
-    store.put('servers', options.id, {
-      service: options.service,
+    const {id, service, zone, slots, models} = this.options;
+    this.store.put('servers', id, {
+      service,
       address: `127.0.0.1:${port}`,
-      zone: options.zone,
+      zone,
       version: 'v1',
-      slots: options.slots,
+      slots,
       state: 'ready',
       cold_remaining_ms: 0,
       sequence: 1,
-      born: Date.now(),
-      ...(options.models === undefined
+      born: this.startedAt,
+      ...(models === undefined
         ? {}
         : {
             stage: 'combined',
-            models: heldModels(options.models),
+            models: this.heldModels(),
             available: {in_memory: [], on_disk: []},
           }),
     });
-    return endpoint;
   }
 
-  /** Ends the endpoint. */
-  stop(): void {
-    this.server.close();
-    for (const connection of this.connections) connection.destroy();
+  private heldModels() {
+    return [...this.models].map(name => ({name, version: 1, adapters: []}));
   }
 
   private serve(connection: Socket): void {
@@ -84,19 +104,20 @@
         const head = received.slice(0, end);
         const length = Number(/content-length: *(\d+)/i.exec(head)?.[1] ?? 0);
         if (received.length < end + 4 + length) return;
+        const body = received.slice(end + 4, end + 4 + length);
         received = received.slice(end + 4 + length);
-        this.handle(connection, head);
+        this.handle(connection, head, body);
       }
     });
   }
 
-  private handle(connection: Socket, head: string): void {
+  private handle(connection: Socket, head: string, body: string): void {
     if (head.startsWith('GET /limpetdale/report ')) {
       const report = JSON.stringify({
         stage: 'combined',
-        models: heldModels(this.options.models ?? []),
-        busy: false,
-        sequence: 0,
+        models: this.heldModels(),
+        busy: this.isBusy,
+        sequence: this.acceptedOrders,
         queued: 0,
         active: 0,
         pending: [],
@@ -106,6 +127,11 @@
       );
       return;
     }
+    if (head.startsWith('POST /limpetdale/order ')) {
+      const status = this.takeOrder(body) ? '202 Accepted' : '409 Conflict';
+      connection.write(`HTTP/1.1 ${status}\r\nContent-Length: 0\r\n\r\n`);
+      return;
+    }
     const id = /request-id: *(\S+)/i.exec(head)?.[1] ?? '';
     const {isInTrouble} = this;
     const manner = isInTrouble ? 'misbehaves' : 'answers soundly';
@@ -113,10 +139,29 @@
     if (isInTrouble) this.options.misbehave({id, connection});
     else this.options.answer({id, connection});
   }
-}
 
-function heldModels(names: readonly string[]) {
-  return names.map(name => ({name, version: 1, adapters: []}));
+  /** Carries out an order for a model; returns whether it is accepted. */
+  private takeOrder(body: string): boolean {
+    const order = JSON.parse(body) as {
+      operation: 'load' | 'unload';
+      model: string;
+      if_revision?: number;
+    };
+    const {if_revision: expected = this.acceptedOrders} = order;
+    if (this.isBusy || expected !== this.acceptedOrders) return false;
+    this.acceptedOrders++;
+    this.isBusy = true;
+    this.options.record(
+      `${this.options.id} is ordered to ${order.operation} ${order.model}`,
+    );
+    setTimeout(() => {
+      this.isBusy = false;
+      if (order.operation === 'load') this.models.add(order.model);
+      else this.models.delete(order.model);
+      this.register();
+    }, LOAD_MILLISECONDS);
+    return true;
+  }
 }
 
 /** Header lines that each answer of a sound endpoint has. */
