--- a/review/1/case.ts
+++ b/review/1/case.ts
@@ -1,7 +1,7 @@
 import {connect} from 'node:net';
 import {HOST_NAME, kaplamaConfiguration, KEY} from '../lib/configuration.ts';
 import {pause, type Recorder, runCase} from '../lib/deployment.ts';
-import {ownHeaders, RawEndpoint} from '../lib/raw_endpoint.ts';
+import {ownHeaders, RawEndpoint, type RawRequest} from '../lib/raw_endpoint.ts';
 
 /** Body of an answer; the mean of the site is 800 bytes. */
 const BODY = 'x'.repeat(800);
@@ -9,15 +9,22 @@
 /** Work of an order; the mean of the site. */
 const ORDER_MILLISECONDS = 43;
 
-/** Time between two orders, as on the site (6.89 a second). */
-const INTERVAL_MILLISECONDS = 145;
+/** Clients; as many as the two applications have places. */
+const CLIENTS = 12;
 
-const PLAY_MILLISECONDS = 70_000;
+/** Pause of a client between two orders. */
+const THINK_MILLISECONDS = 20;
 
-/** One answer in so many breaks off (`x` of `garble` is 0.02). */
+const PLAY_MILLISECONDS = 40_000;
+
+/** The one of two applications that breaks off answers. */
+const FAULTY = 'i-app-1';
+
+/** One of its answers in so many breaks off (`x` of `garble` is 0.02). */
 const BREAK_INTERVAL = 50;
 
 let count = 0;
+let brokenOff = 0;
 let hasTrouble = false;
 
 await runCase({
@@ -27,31 +34,21 @@
   prepare: async deployment => {
     const {store, recorder, atEnd} = deployment;
     hasTrouble = deployment.hasTrouble;
-    const application = await RawEndpoint.start(
-      {
-        id: 'i-app-1',
-        service: 'katalog-app',
-        zone: 'ist-a',
-        slots: 6,
-        record: line => recorder.add(line),
-        misbehave: ({connection}) => connection.destroy(),
-        answer: ({id, connection}) => {
-          const breaks = hasTrouble && ++count % BREAK_INTERVAL === 0;
-          setTimeout(() => {
-            const head = `HTTP/1.1 200 OK\r\n${ownHeaders(id)}Connection: close\r\n\r\n`;
-            if (!breaks) {
-              connection.end(head + BODY);
-              return;
-            }
-            recorder.add(`i-app-1 breaks off its answer to ${id} with a reset`);
-            connection.write(head + BODY.slice(0, BODY.length / 2));
-            connection.resetAndDestroy();
-          }, ORDER_MILLISECONDS);
+    for (const id of [FAULTY, 'i-app-2']) {
+      const application = await RawEndpoint.start(
+        {
+          id,
+          service: 'katalog-app',
+          zone: 'ist-a',
+          slots: 6,
+          record: line => recorder.add(line),
+          misbehave: ({connection}) => connection.destroy(),
+          answer: request => answer(id, request, recorder),
         },
-      },
-      store,
-    );
-    atEnd(() => application.stop());
+        store,
+      );
+      atEnd(() => application.stop());
+    }
   },
   play: async ({hosts, recorder}) => {
     const [host] = hosts;
@@ -60,20 +57,46 @@
       host: host.settings.ip,
       port: host.settings.ports.callers,
     };
-    const answers: Promise<boolean>[] = [];
-    const orders = Math.floor(PLAY_MILLISECONDS / INTERVAL_MILLISECONDS);
-    for (let index = 0; index < orders; index++) {
-      answers.push(getsPartAsWhole(target, `order-${index}`, recorder));
-      await pause(INTERVAL_MILLISECONDS);
-    }
-    const wrong = (await Promise.all(answers)).filter(isWrong => isWrong);
+    const endsAt = performance.now() + PLAY_MILLISECONDS;
+    let orders = 0;
+    let wrong = 0;
+    const runClient = async () => {
+      while (performance.now() < endsAt) {
+        if (await getsPartAsWhole(target, `order-${orders++}`, recorder))
+          wrong++;
+        await pause(THINK_MILLISECONDS);
+      }
+    };
+    await Promise.all(Array.from({length: CLIENTS}, runClient));
     recorder.add(
-      `${orders} orders, ${wrong.length} got a part of an answer as a whole one`,
+      `${orders} orders, ${brokenOff} answers broken off, ${wrong} of them came ` +
+        'as whole ones',
     );
-    return wrong.length > 0;
+    return wrong > 0;
   },
 });
 
+/** Answers without a length; the faulty application breaks off some of its answers. */
+function answer(
+  endpoint: string,
+  {id, connection}: RawRequest,
+  recorder: Recorder,
+): void {
+  const breaks =
+    hasTrouble && endpoint === FAULTY && ++count % BREAK_INTERVAL === 0;
+  setTimeout(() => {
+    const head = `HTTP/1.1 200 OK\r\n${ownHeaders(id)}Connection: close\r\n\r\n`;
+    if (!breaks) {
+      connection.end(head + BODY);
+      return;
+    }
+    brokenOff++;
+    recorder.add(`${endpoint} breaks off its answer to ${id} with a reset`);
+    connection.write(head + BODY.slice(0, BODY.length / 2));
+    connection.resetAndDestroy();
+  }, ORDER_MILLISECONDS);
+}
+
 /** Sends an order; whether its client gets a part of the answer as a whole one. */
 function getsPartAsWhole(
   target: {host: string; port: number},
--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -14,6 +14,9 @@
 /** Work of an order; the mean of the site is 42.9 ms, the largest 220 ms. */
 const ORDER_MILLISECONDS = 100;
 
+/** One stream in so many has no end (`x` of `garble` is 0.02). */
+const TROUBLE_INTERVAL = 50;
+
 /** Part of all traffic that one of the two hosts gets. */
 const HOST_SHARE = 0.5;
 
@@ -40,6 +43,7 @@
         model: MODEL,
         zone: 'ist-a',
         status: '200 OK',
+        misbehavesEvery: TROUBLE_INTERVAL,
         start: 'id: 1\ndata: ',
         record: line => recorder.add(line),
       },
@@ -73,7 +77,7 @@
       recorder.add('i-troubled-engine gets into trouble');
       troubled.isInTrouble = true;
     }
-    await pause(20_000);
+    await pause(40_000);
     recorder.add('the trouble ends');
     troubled.isInTrouble = false;
     await pause(2000);
--- a/review/lib/flooding_engine.ts
+++ b/review/lib/flooding_engine.ts
@@ -13,6 +13,8 @@
   readonly start: string;
   /** Bytes a second of each answer; as many as are read when left out. */
   readonly bytesPerSecond?: number;
+  /** In trouble, one answer in so many has no end. @default 1 */
+  readonly misbehavesEvery?: number;
   readonly record: (line: string) => void;
 }
 
@@ -44,6 +46,7 @@
       slots: 64,
       models: [model],
       record,
+      misbehavesEvery: options.misbehavesEvery ?? 1,
       answer: request => {
         const event = chunkOf('id: 1\ndata: a whole event\n\n');
         request.connection.write(
--- a/review/lib/raw_endpoint.ts
+++ b/review/lib/raw_endpoint.ts
@@ -15,6 +15,8 @@
   readonly slots: number;
   /** Models that it has loaded; a plain service has none. */
   readonly models?: readonly string[];
+  /** In trouble, it misbehaves at one request in so many. @default 1 */
+  readonly misbehavesEvery?: number;
   /** Answers in trouble, with any bytes. */
   readonly misbehave: (request: RawRequest) => void;
   /** Answers soundly. */
@@ -30,6 +32,7 @@
   isInTrouble = false;
   private readonly models: Set<string>;
   private readonly startedAt = Date.now();
+  private troubledRequests = 0;
   private acceptedOrders = 0;
   private isBusy = false;
   private readonly connections = new Set<Socket>();
@@ -133,10 +136,12 @@
       return;
     }
     const id = /request-id: *(\S+)/i.exec(head)?.[1] ?? '';
-    const {isInTrouble} = this;
-    const manner = isInTrouble ? 'misbehaves' : 'answers soundly';
+    const misbehaves =
+      this.isInTrouble &&
+      ++this.troubledRequests % (this.options.misbehavesEvery ?? 1) === 0;
+    const manner = misbehaves ? 'misbehaves' : 'answers soundly';
     this.options.record(`${this.options.id} runs ${id} and ${manner}`);
-    if (isInTrouble) this.options.misbehave({id, connection});
+    if (misbehaves) this.options.misbehave({id, connection});
     else this.options.answer({id, connection});
   }
 
