Tell a reset from the end of a body without a length

Cause: the end of the connection was the only evidence for the end of such a body. libuv reports that end in place of the reset if a read takes all bytes that are left and the poll has reported that the connection is gone.

The operating system is asked for the peer when a connection ends, before the host shuts it down: after a reset it knows none, after an end it does. So no part of a body passes, whatever the timing.

--- a/src/endpoints/_http_exchange.ts
+++ b/src/endpoints/_http_exchange.ts
@@ -1,5 +1,4 @@
-import {Agent} from 'node:http';
-import type {IncomingMessage} from 'node:http';
+import {Agent, type ClientRequest, type IncomingMessage} from 'node:http';
 import type {Readable} from 'node:stream';
 import {got, type Method, RequestError, TimeoutError} from 'got';
 import {
@@ -8,6 +7,7 @@
   type Result,
   success,
 } from '../errors/mod.ts';
+import {watchConnection} from '../exchange/mod.ts';
 import {type Clock, SystemClock} from '../time/mod.ts';
 import {readWithTimeout, InactivityTimeoutError} from './_read_with_timeout.ts';
 import type {EndpointError, EndpointStep} from './endpoint_error.ts';
@@ -117,10 +117,16 @@
     if (request.body === undefined && !BODILESS_METHODS.has(request.method)) {
       stream.end();
     }
+    let hasConnectionFailed = () => false;
+    stream.once('request', (clientRequest: ClientRequest) => {
+      hasConnectionFailed = watchConnection(clientRequest);
+    });
     return new Promise(resolve => {
       stream.once('response', (message: IncomingMessage) => {
         const status = message.statusCode ?? 0;
-        const body = this.readBody(stream, progress);
+        const body = this.readBody(stream, progress, () =>
+          hasConnectionFailed(),
+        );
         const close = () => {
           stream.destroy();
         };
@@ -203,10 +209,14 @@
   private async *readBody(
     stream: Readable,
     progressMilliseconds: number,
+    hasConnectionFailed: () => boolean,
   ): AsyncGenerator<Buffer, void, undefined> {
     const clock = this.timeouts.clock ?? SYSTEM_CLOCK;
     try {
       yield* readWithTimeout(stream, progressMilliseconds, clock);
+      if (hasConnectionFailed()) {
+        throw new Error('The connection was reset within the response');
+      }
     } catch (error) {
       stream.destroy();
       throw new EndpointFailure(this.toEndpointError('receive', error));
--- a/src/exchange/call_http.ts
+++ b/src/exchange/call_http.ts
@@ -5,6 +5,7 @@
   type Result,
   success,
 } from '../errors/mod.ts';
+import {watchConnection} from './watch_connection.ts';
 
 /** Options of {@link callHttp}. */
 export interface CallHttpOptions {
@@ -75,6 +76,7 @@
       resolve(failure({reason: String(error), mayHaveArrived: false}));
       return;
     }
+    const hasConnectionFailed = watchConnection(clientRequest);
     const timer = setTimeout(() => {
       // A reset also discards bytes that are still queued on an interrupted link.
       if (connected) clientRequest.socket?.resetAndDestroy();
@@ -110,6 +112,10 @@
       });
       response.on('error', fail);
       response.on('end', () => {
+        if (hasConnectionFailed()) {
+          fail(new Error('connection reset within the response'));
+          return;
+        }
         clearTimeout(timer);
         resolve(
           success({
--- a/src/exchange/mod.ts
+++ b/src/exchange/mod.ts
@@ -25,3 +25,4 @@
 export {isConnectionRefused} from './is_connection_refused.ts';
 export {isSocketAddress} from './is_socket_address.ts';
 export {isUnframed} from './is_unframed.ts';
+export {watchConnection} from './watch_connection.ts';
--- a/src/exchange/send_to_endpoint.ts
+++ b/src/exchange/send_to_endpoint.ts
@@ -5,6 +5,7 @@
   request,
 } from 'node:http';
 import {isConnectFailureCode} from '../errors/mod.ts';
+import {watchConnection} from './watch_connection.ts';
 
 /** Options of {@link sendToEndpoint}. */
 export interface SendOptions {
@@ -36,10 +37,7 @@
   readonly isFirstOnConnection: boolean;
   /** Whether the body has a Content-Length or is chunked, so that its end is known. */
   readonly isFramed: boolean;
-  /**
-   * Whether the connection has failed. Node.js reports a body without a length
-   * as complete even if the connection was reset.
-   */
+  /** Whether the connection has failed, see {@link watchConnection}. */
   readonly hasConnectionFailed: () => boolean;
   /** Closes the connection. */
   readonly abort: () => void;
@@ -76,7 +74,6 @@
     }
     let connected = false;
     let timedOut = false;
-    let hasConnectionFailed = false;
     let clientRequest: ClientRequest;
     try {
       clientRequest = request({
@@ -93,6 +90,7 @@
       resolve({kind: 'unsent', reason: String(error), wasQueued: false});
       return;
     }
+    const hasConnectionFailed = watchConnection(clientRequest);
     const terminate = (reason: string) => {
       // A reset also discards bytes that are still queued on an interrupted
       // link, so that the request does not arrive after it was aborted.
@@ -119,13 +117,6 @@
     );
     options.signal.addEventListener('abort', abort, {once: true});
     clientRequest.once('socket', socket => {
-      const recordFailure = () => {
-        hasConnectionFailed = true;
-      };
-      socket.once('error', recordFailure);
-      clientRequest.once('close', () =>
-        socket.removeListener('error', recordFailure),
-      );
       const onConnect = () => {
         connected = true;
         clearTimeout(timer);
@@ -159,7 +150,7 @@
         isFramed:
           message.headers['content-length'] !== undefined ||
           message.headers['transfer-encoding'] !== undefined,
-        hasConnectionFailed: () => hasConnectionFailed,
+        hasConnectionFailed,
         abort: () => terminate('the answer is not wanted'),
       });
     });
