--- a/src/relay/_break_off.ts
+++ b/src/exchange/break_off.ts
@@ -1,5 +1,5 @@
 import type {ServerResponse} from 'node:http';
-import {isUnframed} from '../exchange/mod.ts';
+import {isUnframed} from './is_unframed.ts';
 
 /**
  * Ends a response so that it does not look complete. The body of one without a length
--- a/src/exchange/mod.ts
+++ b/src/exchange/mod.ts
@@ -7,6 +7,7 @@
  *
  * @module
  */
+export {breakOff} from './break_off.ts';
 export {
   callHttp,
   type CallHttpOptions,
--- a/src/http/service_handler.ts
+++ b/src/http/service_handler.ts
@@ -1,7 +1,9 @@
 import {randomUUID} from 'node:crypto';
+import type {ServerResponse} from 'node:http';
 import {pipeline} from 'node:stream/promises';
 import {Readable} from 'node:stream';
 import type {RequestHandler} from 'express';
+import {breakOff} from '../exchange/mod.ts';
 import type {CallerRequestHandler} from './caller_request_handler.ts';
 import {sendError} from './error_response.ts';
 import {disconnectSignal} from './model_handler.ts';
@@ -46,9 +48,23 @@
       if (value === undefined || HOP_BY_HOP_HEADERS.has(name)) continue;
       response.set(name, typeof value === 'string' ? value : [...value]);
     }
-    // Destroying the connection lets callers detect that the response is incomplete.
-    await pipeline(Readable.from(body), response).catch(() => {
-      response.destroy();
-    });
+    // The request path logs why a body broke off.
+    await pipeline(
+      Readable.from(forwardedBody(body, response)),
+      response,
+    ).catch(() => undefined);
   };
 }
+
+/** Breaks the response off if the body does, before `pipeline` closes it. */
+async function* forwardedBody(
+  body: AsyncIterable<Uint8Array>,
+  response: ServerResponse,
+): AsyncGenerator<Uint8Array, void, undefined> {
+  try {
+    yield* body;
+  } catch (error) {
+    breakOff(response);
+    throw error;
+  }
+}
--- a/src/relay/request_relay.ts
+++ b/src/relay/request_relay.ts
@@ -10,8 +10,9 @@
   type RequestStep,
   RUN_STATES,
 } from '../errors/mod.ts';
+import {breakOff} from '../exchange/mod.ts';
 import {AttemptLoop} from './_attempt_loop.ts';
-import {breakOff} from './_break_off.ts';
+
 import {connectionHeader} from './_connection_header.ts';
 import {drainingError} from './draining_error.ts';
 import {readBody} from './_read_body.ts';
--- a/src/requests/service_run.ts
+++ b/src/requests/service_run.ts
@@ -358,6 +358,10 @@
     } catch (error) {
       this.open.run = RUN_STATES.unknown;
       const failed = toEndpointError(undefined, error);
+      this.context.options.logger.event('requestFailed', {
+        requestId: this.request.requestId,
+        reason: failed.reason,
+      });
       throw new RequestFailure(endpointRequestError(this.open, failed));
     } finally {
       release();
