Read each byte of an event once, however small its pieces are

Only new bytes are searched, with the two before them in which a blank line can begin, and the pieces are copied into blocks. A property test divides streams at random: the division no longer changes which events are complete.

--- a/src/relay/_event_splitter.ts
+++ b/src/relay/_event_splitter.ts
@@ -1,13 +1,21 @@
+import {ByteCollector} from '../bytes/mod.ts';
+
 const NEWLINE = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 
+/** Bytes before the last newline of a blank line that belong to it: LF, CR. */
+const BLANK_LINE_PREFIX_BYTES = 2;
+
 /**
  * Splits a stream of server-sent events at the blank lines between them without
  * changing their bytes. A stream that breaks within an event can thus be
- * forwarded up to its last complete event.
+ * forwarded up to its last complete event. Each byte is read and copied a fixed
+ * number of times, however small the chunks are.
  */
 export class EventSplitter {
-  private incompleteEvent: Buffer = Buffer.alloc(0);
+  private readonly incompleteEvent = new ByteCollector();
+  /** Last bytes of the incomplete event, in which a blank line can begin. */
+  private lastBytes: Buffer = Buffer.alloc(0);
   private id: string | undefined;
 
   /** Id of the last complete event that has one. */
@@ -22,20 +30,29 @@
 
   /** Adds a chunk and returns the events that are complete now, unchanged. */
   push(chunk: Buffer): Buffer {
-    const bytes =
-      this.incompleteEvent.length === 0
-        ? chunk
-        : Buffer.concat([this.incompleteEvent, chunk]);
-    const end = endOfLastEvent(bytes);
-    this.incompleteEvent = bytes.subarray(end);
-    const events = bytes.subarray(0, end);
-    if (events.length > 0) this.recordEventIds(events);
+    const searched = Buffer.concat([this.lastBytes, chunk]);
+    const end = endOfLastEvent(searched) - this.lastBytes.length;
+    this.lastBytes = Buffer.from(searched.subarray(-BLANK_LINE_PREFIX_BYTES));
+    if (end <= 0) {
+      this.incompleteEvent.append(chunk);
+      return Buffer.alloc(0);
+    }
+    const events = this.completeEvent(chunk.subarray(0, end));
+    this.incompleteEvent.append(chunk.subarray(end));
+    this.recordEventIds(events);
     return events;
   }
 
   /** Discards the buffered bytes of an incomplete event. */
   discardIncompleteEvent(): void {
-    this.incompleteEvent = Buffer.alloc(0);
+    this.incompleteEvent.clear();
+    this.lastBytes = Buffer.alloc(0);
+  }
+
+  private completeEvent(rest: Buffer): Buffer {
+    if (this.incompleteEvent.length === 0) return rest;
+    this.incompleteEvent.append(rest);
+    return this.incompleteEvent.take();
   }
 
   private recordEventIds(events: Buffer): void {
--- a/src/relay/_event_splitter_test.ts
+++ b/src/relay/_event_splitter_test.ts
@@ -1,6 +1,10 @@
+import fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
 import {EventSplitter} from './_event_splitter.ts';
 
+/** Size of an event of which the square of its size is too long to wait for. */
+const LONG_EVENT_BYTES = 1024 * 1024;
+
 describe('EventSplitter', () => {
   interface Case {
     name: string;
@@ -50,4 +54,45 @@
     expect(splitter.lastEventId).toBe(entry.lastEventId);
     expect(splitter.pendingBytes).toBe(entry.pendingBytes);
   });
+
+  // Guards against streams that are cut, or end as complete, depending on how the
+  // network divides them.
+  test('the division into chunks changes neither events nor ids', () => {
+    const piece = fc.constantFrom('\n', '\r\n', 'id: 1', 'id: 2', 'data: a');
+    fc.assert(
+      fc.property(
+        fc.array(piece, {maxLength: 20}),
+        fc.array(fc.nat(5), {maxLength: 40}),
+        (pieces, sizes) => {
+          const bytes = Buffer.from(pieces.join(''));
+          const whole = new EventSplitter();
+          const events = whole.push(bytes);
+          const divided = new EventSplitter();
+          const passed: Buffer[] = [];
+          let start = 0;
+          for (const size of sizes) {
+            passed.push(divided.push(bytes.subarray(start, start + size)));
+            start += size;
+          }
+          passed.push(divided.push(bytes.subarray(start)));
+          expect(Buffer.concat(passed)).toEqual(events);
+          expect(divided.lastEventId).toBe(whole.lastEventId);
+          expect(divided.pendingBytes).toBe(whole.pendingBytes);
+        },
+      ),
+      {seed: 1, numRuns: 2000},
+    );
+  });
+
+  // Guards against CONFIG violations: the cost of an event grew with the square of its
+  // size, and the deadlines of all requests waited for it. Takes minutes then.
+  test('an event in pieces of one byte takes no longer than its size', () => {
+    const splitter = new EventSplitter();
+    const chunk = Buffer.from('x');
+    for (let count = 0; count < LONG_EVENT_BYTES; count++) splitter.push(chunk);
+    expect(splitter.pendingBytes).toBe(LONG_EVENT_BYTES);
+    expect(splitter.push(Buffer.from('\n\n')).length).toBe(
+      LONG_EVENT_BYTES + 2,
+    );
+  });
 });
