--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -58,7 +58,20 @@
   }
 
   /** Starts a host; it becomes ready once it has a configuration. */
-  static async start(context: EntryContext): Promise<EntryHost> {
+  static start(context: EntryContext): Promise<EntryHost>;
+  /**
+   * @param stop Ends the start.
+   * @returns The host; undefined if it was stopped before it had started.
+   */
+  static start(
+    context: EntryContext,
+    stop: AbortSignal,
+  ): Promise<EntryHost | undefined>;
+  static async start(
+    context: EntryContext,
+    stop?: AbortSignal,
+  ): Promise<EntryHost | undefined> {
+    if (stop?.aborted === true) return undefined;
     const host = new EntryHost(context);
     await host.startComponents();
     return host;
--- a/src/testing/local_deployment.ts
+++ b/src/testing/local_deployment.ts
@@ -234,7 +234,8 @@
     return dataCentres[index % dataCentres.length]!;
   }
 
-  private settings(
+  /** Settings of a host on free loopback ports. */
+  settings(
     hostId: string,
     number: number,
     seeds: readonly string[],
