Wait for ports that are in use at the start

One way, played with real processes: a port of callers, readiness, directory, peers or metrics that was still in use, for example by the process that a host replaces, ended the start with exit code 1.

Cause: the first error of listen() ended the start.

Both programs wait until the address is free, log that they do, and end with 0 on SIGTERM meanwhile. The metrics page does not delay the start. Errors of a server that listens are logged; in the daemon an unhandled one ended the process. Other errors, such as a missing permission, end the start at once as before.

--- a/bench/membership_cost.ts
+++ b/bench/membership_cost.ts
@@ -37,7 +37,12 @@
 const traffic = new Map<string, Traffic>();
 
 async function startHost(index: number) {
-  const server = await PeerNetwork.listen('127.0.0.1', 0);
+  const server = await PeerNetwork.listen({
+    address: '127.0.0.1',
+    port: 0,
+    clock: new SystemClock(),
+    logger: SILENT_LOGGER,
+  });
   const port = listeningPort(server);
   const network = new PeerNetwork({
     self: {
--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -95,21 +95,16 @@
   /** Binds the sockets and starts all components. */
   static async start(options: HostOptions): Promise<Host> {
     const {settings, logger} = options;
-    const listeners = await openListeners(settings);
+    const clock = options.clock ?? new SystemClock();
+    const listeners = await openListeners(settings, clock, logger);
     const addresses = advertisedAddresses(settings, listeners);
-    const context = new HostContext(
-      settings,
-      options.clock ?? new SystemClock(),
-      logger,
-      new Metrics(),
-      {
-        hostId: settings.hostId,
-        incarnation: options.incarnation ?? randomUUID(),
-        dataCentre: settings.dataCentre,
-        peerAddress: addresses.peers,
-        callerAddress: addresses.callers,
-      },
-    );
+    const context = new HostContext(settings, clock, logger, new Metrics(), {
+      hostId: settings.hostId,
+      incarnation: options.incarnation ?? randomUUID(),
+      dataCentre: settings.dataCentre,
+      peerAddress: addresses.peers,
+      callerAddress: addresses.callers,
+    });
     const host = new Host(context, listeners, addresses, () => {
       void host.drain();
     });
--- a/src/daemon/listeners.ts
+++ b/src/daemon/listeners.ts
@@ -1,7 +1,10 @@
 import {createServer, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {trackConnections} from '../http/mod.ts';
+import {listenWhenFree} from '../listeners/mod.ts';
+import type {EventLogger} from '../observability/mod.ts';
 import type {Settings} from '../settings/mod.ts';
+import type {Clock} from '../time/mod.ts';
 
 /** HTTP servers on which a host listens. */
 export interface Listeners {
@@ -22,16 +25,24 @@
 // than 5 s.
 const KEEP_ALIVE_TIMEOUT_MILLISECONDS = 65_000;
 
-/** Binds all sockets of a host. No request handlers are attached yet. */
-export async function openListeners(settings: Settings): Promise<Listeners> {
+/**
+ * Binds all sockets of a host, once their addresses are free. No request handlers are
+ * attached yet.
+ */
+export async function openListeners(
+  settings: Settings,
+  clock: Clock,
+  logger: EventLogger,
+): Promise<Listeners> {
   const opened: Server[] = [];
   try {
-    for (const {listen} of [
-      settings.callers,
-      settings.operators,
-      settings.peers,
-    ]) {
-      opened.push(await openListener(listen.address, listen.port));
+    for (const name of ['callers', 'operators', 'peers'] as const) {
+      const {listen} = settings[name];
+      const server = createServer();
+      opened.push(server);
+      trackConnections(server);
+      server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MILLISECONDS;
+      await listenWhenFree(server, {...listen, name, clock, logger});
     }
   } catch (error) {
     for (const server of opened) server.close();
@@ -54,20 +65,6 @@
   };
 }
 
-async function openListener(address: string, port: number): Promise<Server> {
-  const server = createServer();
-  trackConnections(server);
-  server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MILLISECONDS;
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, address, () => {
-      server.off('error', reject);
-      resolve();
-    });
-  });
-  return server;
-}
-
 function boundAddress(scheme: string, server: Server): string {
   const {address, port, family} = server.address() as AddressInfo;
   const host = family === 'IPv6' ? `[${address}]` : address;
--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -71,10 +71,9 @@
     context: EntryContext,
     stop?: AbortSignal,
   ): Promise<EntryHost | undefined> {
-    if (stop?.aborted === true) return undefined;
     const host = new EntryHost(context);
-    await host.startComponents();
-    return host;
+    const hasStarted = await host.startComponents(stop);
+    return hasStarted ? host : undefined;
   }
 
   /**
@@ -142,14 +141,26 @@
     logger.event('hostStopped', {elapsed: Math.round(elapsed())});
   }
 
-  private async startComponents(): Promise<void> {
-    const {settings, logger} = this.context;
+  /** @returns Whether the host has started; false if it was stopped before. */
+  private async startComponents(stop?: AbortSignal): Promise<boolean> {
+    const {clock, settings, logger} = this.context;
     const peers = this.container.get(PeerNetwork);
     const hosts = this.container.get(HostRegistry);
+    const listeners = this.container.get(EntryListeners);
     const [server] = await Promise.all([
-      PeerNetwork.listen(settings.address, settings.peerPort),
-      this.container.get(EntryListeners).listen(),
+      PeerNetwork.listen({
+        address: settings.address,
+        port: settings.peerPort,
+        clock,
+        logger,
+        stop,
+      }),
+      listeners.listen(stop),
     ]);
+    if (stop?.aborted === true) {
+      await listeners.close(settings.graceSeconds * 1000 - EXIT_MILLISECONDS);
+      return false;
+    }
     peers.start(server);
     hosts.onChange(() => this.updateTopology());
     peers.onConnectionEvent(() => this.updateTopology());
@@ -163,6 +174,7 @@
       callers: settings.callers,
       isFirstStart: settings.isFirstStart,
     });
+    return true;
   }
 
   /** Recomputes the roles of the hosts and connects to the peers they imply. */
--- a/src/entry/entry_listeners.ts
+++ b/src/entry/entry_listeners.ts
@@ -7,6 +7,7 @@
 import type {CallerLimits} from '../deployment/mod.ts';
 import type {FleetTopology} from '../fleet/mod.ts';
 import {closeGracefully, trackConnections} from '../http/mod.ts';
+import {listenWhenFree} from '../listeners/mod.ts';
 import type {EventLogger, Metrics} from '../observability/mod.ts';
 import type {PromptPartQuarantine, RequestRelay} from '../relay/mod.ts';
 import type {Clock} from '../time/mod.ts';
@@ -45,7 +46,10 @@
 /** HTTP servers of an entry host. */
 export class EntryListeners {
   private readonly callerServer: Server;
-  private readonly auxiliaryServers: readonly Server[];
+  private readonly readinessServer: Server;
+  private readonly directoryServer: Server;
+  private readonly metricsServer: Server;
+  private readonly closing = new AbortController();
 
   constructor(private readonly options: EntryListenersOptions) {
     const {relay} = options;
@@ -59,34 +63,74 @@
       },
       (request, response) => void relay.handle(request, response),
     );
-    this.auxiliaryServers = [
-      createServer((request, response) =>
-        this.handleReadiness(request, response),
-      ),
-      createServer((request, response) =>
-        this.handleAddressQuery(request, response),
-      ),
-      createServer((request, response) =>
-        this.handleOperator(request, response),
-      ),
-    ];
+    this.readinessServer = createServer((request, response) =>
+      this.handleReadiness(request, response),
+    );
+    this.directoryServer = createServer((request, response) =>
+      this.handleAddressQuery(request, response),
+    );
+    this.metricsServer = createServer((request, response) =>
+      this.handleOperator(request, response),
+    );
     for (const server of this.servers()) trackConnections(server);
   }
 
-  /** Listens on all configured addresses. */
-  async listen(): Promise<void> {
-    const {settings} = this.options;
-    const addresses = [
-      settings.callers,
-      settings.readiness,
-      settings.directory,
+  /**
+   * Listens on all configured addresses, once they are free. The metrics page, which
+   * no request needs, does not delay the start.
+   *
+   * @param stop Ends the waiting.
+   */
+  async listen(stop?: AbortSignal): Promise<void> {
+    const {settings, logger} = this.options;
+    this.listenOn(
+      this.metricsServer,
+      'metrics',
       `${settings.address}:${settings.metricsPort}`,
-    ];
-    await Promise.all(
-      this.servers().map((server, index) =>
-        listen(server, addresses[index] ?? ''),
-      ),
+      stop,
+    ).catch((error: Error) =>
+      logger.event('listenerFailed', {
+        listener: 'metrics',
+        reason: error.message,
+      }),
     );
+    await Promise.all([
+      this.listenOn(
+        this.readinessServer,
+        'readiness',
+        settings.readiness,
+        stop,
+      ),
+      this.listenOn(
+        this.directoryServer,
+        'directory',
+        settings.directory,
+        stop,
+      ),
+    ]);
+    await this.listenOn(this.callerServer, 'callers', settings.callers, stop);
+  }
+
+  private listenOn(
+    server: Server,
+    name: string,
+    socketAddress: string,
+    stop: AbortSignal | undefined,
+  ): Promise<boolean> {
+    const {clock, logger} = this.options;
+    const [address = '', port] = socketAddress.split(':');
+    return listenWhenFree(server, {
+      name,
+      address,
+      port: Number(port),
+      backlog: ACCEPT_BACKLOG,
+      clock,
+      logger,
+      stop:
+        stop === undefined
+          ? this.closing.signal
+          : AbortSignal.any([stop, this.closing.signal]),
+    });
   }
 
   /** Applies the configured time-outs to the caller server. */
@@ -101,13 +145,14 @@
    */
   async close(timeoutMilliseconds: number): Promise<void> {
     const {clock} = this.options;
+    this.closing.abort();
     await closeGracefully(this.callerServer, {
       clock,
       timeoutMilliseconds: timeoutMilliseconds - AUXILIARY_CLOSE_MILLISECONDS,
       onTimeout: connections => this.logCut(connections),
     });
     await Promise.all(
-      this.auxiliaryServers.map(server =>
+      this.auxiliaryServers().map(server =>
         closeGracefully(server, {
           clock,
           timeoutMilliseconds: AUXILIARY_CLOSE_MILLISECONDS,
@@ -117,7 +162,11 @@
   }
 
   private servers(): readonly Server[] {
-    return [this.callerServer, ...this.auxiliaryServers];
+    return [this.callerServer, ...this.auxiliaryServers()];
+  }
+
+  private auxiliaryServers(): readonly Server[] {
+    return [this.readinessServer, this.directoryServer, this.metricsServer];
   }
 
   private logCut(connections: number): void {
@@ -176,11 +225,3 @@
     response.writeHead(200, {'Content-Type': 'text/plain'}).end(body);
   }
 }
-
-function listen(server: Server, address: string): Promise<void> {
-  const [host, port] = address.split(':');
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen({host, port: Number(port), backlog: ACCEPT_BACKLOG}, resolve);
-  });
-}
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -51,6 +51,16 @@
     level: 'info',
     message: 'Event loop keeps up again',
   },
+  addressInUse: {
+    number: 112,
+    level: 'warn',
+    message: 'Address to listen on is in use; waiting until it is free',
+  },
+  listenerFailed: {
+    number: 113,
+    level: 'error',
+    message: 'Listening server reported an error',
+  },
   unexpectedFailure: {
     number: 190,
     level: 'error',
--- a/src/peers/peer_network.ts
+++ b/src/peers/peer_network.ts
@@ -1,6 +1,7 @@
 import {createServer, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {WebSocket, WebSocketServer} from 'ws';
+import {listenWhenFree, type ListenOptions} from '../listeners/mod.ts';
 import type {EventLogger} from '../observability/mod.ts';
 import {type Clock, sleep} from '../time/mod.ts';
 import {PeerConnection} from './_peer_connection.ts';
@@ -68,15 +69,12 @@
     this.self = options.self;
   }
 
-  /** Creates a server that listens at an address; {@link start} uses it. */
-  static async listen(address: string, port: number): Promise<Server> {
+  /** Creates a server that listens once its address is free; {@link start} uses it. */
+  static async listen(options: Omit<ListenOptions, 'name'>): Promise<Server> {
     const server = createServer((_request, response) => {
       response.writeHead(426).end();
     });
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(port, address, resolve);
-    });
+    await listenWhenFree(server, {...options, name: 'peers'});
     return server;
   }
 
@@ -88,6 +86,8 @@
       maxPayload: this.maximumMessageBytes,
       perMessageDeflate: false,
     });
+    // `ws` repeats errors of the server, which listenWhenFree logs.
+    sockets.on('error', () => undefined);
     sockets.on('connection', (socket, request) => {
       const {remoteAddress, remotePort} = request.socket;
       this.openConnection(socket, `${remoteAddress}:${remotePort}`);
--- a/src/peers/peer_network_test.ts
+++ b/src/peers/peer_network_test.ts
@@ -1,7 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {afterEach, describe, expect, test} from 'vitest';
 import {WebSocket} from 'ws';
-import type {EventName} from '../observability/mod.ts';
+import {type EventName, SILENT_LOGGER} from '../observability/mod.ts';
 import {SystemClock} from '../time/mod.ts';
 import {
   encodePeerFrame,
@@ -27,7 +27,12 @@
   hostId: string,
   options: Partial<PeerNetworkOptions> = {},
 ) {
-  const server = await PeerNetwork.listen('127.0.0.1', 0);
+  const server = await PeerNetwork.listen({
+    address: '127.0.0.1',
+    port: 0,
+    clock: new SystemClock(),
+    logger: SILENT_LOGGER,
+  });
   const peerAddress = `ws://127.0.0.1:${listeningPort(server)}`;
   const events: EventName[] = [];
   const network = new PeerNetwork({
--- a/src/testing/local_deployment.ts
+++ b/src/testing/local_deployment.ts
@@ -235,11 +235,7 @@
   }
 
   /** Settings of a host on free loopback ports. */
-  settings(
-    hostId: string,
-    number: number,
-    seeds: readonly string[],
-  ): Settings {
+  settings(hostId: string, number: number, seeds: readonly string[]): Settings {
     const listen = {address: '127.0.0.1', port: 0};
     return settingsSchema.parse({
       hostId,
