Check the key before the body, and bound the bytes that a host holds

Operators saw processes end by themselves (Fault). One way, played with the real program: 10 callers that send bodies of 4 MB in chunks of 55 bytes ended it at its heap limit, with a key or without one; 100 callers in chunks of 16,000 bytes took it over memory_mb.

Cause: each piece was kept as an object of its own, several times its payload; a body was read whole before its key was checked; nothing knew the sum.

Pieces are copied into blocks. Route and key are checked on the head, and a refused request gets its answer at once. A budget limits the bytes of all bodies, and half of it those of one team or caller; beyond it a request gets 503 with Retry-After, which is true: it has not run. In the daemon, bodies are collected the same way and the key of model calls is checked first.

--- a/src/bytes/mod.ts
+++ b/src/bytes/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Collects bytes that peers send in pieces of their choosing.
+ * Collects bytes that peers send in pieces of their choosing, within a budget.
  *
  * ```ts
  * const collector = new ByteCollector();
@@ -9,4 +9,5 @@
  *
  * @module
  */
+export {ByteBudget, type ByteReservation} from './byte_budget.ts';
 export {ByteCollector} from './byte_collector.ts';
--- a/src/entry/_bind_requests.ts
+++ b/src/entry/_bind_requests.ts
@@ -1,4 +1,5 @@
 import type {Container} from 'inversify';
+import {ByteBudget} from '../bytes/mod.ts';
 import {EndpointRouter, ReplicaMap} from '../engines/mod.ts';
 import {isConnectionRefused} from '../exchange/mod.ts';
 import {EndpointRegistry, FleetShares, FleetTopology} from '../fleet/mod.ts';
@@ -25,6 +26,14 @@
 /** Time-out of the connection that shows whether an endpoint has ended. */
 const CRASH_CHECK_MILLISECONDS = 300;
 
+/**
+ * Part of the memory for bodies that are held. Besides them the process needs its own
+ * state, and the buffers of sockets until the next garbage collection.
+ */
+const HELD_MEMORY_SHARE = 0.3;
+
+const BYTES_PER_MEGABYTE = 1024 * 1024;
+
 /** Binds the path of callers' requests. */
 export function bindRequests(
   container: Container,
@@ -123,6 +132,9 @@
         logger,
         metrics: container.get(Metrics),
         wireFormat: platform.wireFormat,
+        byteBudget: new ByteBudget(
+          settings.memoryMegabytes * HELD_MEMORY_SHARE * BYTES_PER_MEGABYTE,
+        ),
         routes: () => container.get(ConfigurationSource).index,
         endpoints: container.get(EndpointRouter),
         rateLimiter: container.get(FleetRateLimiter),
--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -64,6 +64,13 @@
     .describe(
       'Share of a core that the host may use, and the speed of the core relative to a usual one.',
     ),
+  memoryMegabytes: z
+    .number()
+    .positive()
+    .default(350)
+    .describe(
+      'Memory that the process may use, in MB. `LIMPETDALE_MEMORY_MB` in the environment replaces it.',
+    ),
   linkMegabits: z
     .number()
     .positive()
--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -15,6 +15,9 @@
 /** Environment variable with the path of the settings file. */
 const SETTINGS_VARIABLE = 'LIMPETDALE_BOOT';
 
+/** Environment variable with the memory limit of the process, in MB. */
+const MEMORY_VARIABLE = 'LIMPETDALE_MEMORY_MB';
+
 /** Time-out for writing the queued log lines before the process exits. */
 const LOG_FLUSH_MILLISECONDS = 50;
 
@@ -64,7 +67,12 @@
     process.stdout.write(`Settings file "${flags.settings}" is valid\n`);
     return;
   }
-  await serve(flags.settings, settings.value, signals);
+  const memoryMegabytes = Number(process.env[MEMORY_VARIABLE]);
+  await serve(
+    flags.settings,
+    memoryMegabytes > 0 ? {...settings.value, memoryMegabytes} : settings.value,
+    signals,
+  );
 }
 
 async function serve(
--- a/src/http/caller_application.ts
+++ b/src/http/caller_application.ts
@@ -1,5 +1,9 @@
 import type {ServerResponse} from 'node:http';
-import express, {type ErrorRequestHandler, type Express} from 'express';
+import express, {
+  type ErrorRequestHandler,
+  type Express,
+  type RequestHandler,
+} from 'express';
 import {
   REQUEST_ERROR_CODES,
   REQUEST_STEPS,
@@ -14,6 +18,8 @@
 import {measureRequests} from './measure_requests.ts';
 import {createModelHandler} from './model_handler.ts';
 import {parseChatBody, parseCompletionBody} from './model_request_body.ts';
+import {parseJsonBody} from './parse_json_body.ts';
+import {createBodyReader} from './read_body.ts';
 import {createServiceHandler} from './service_handler.ts';
 
 /** Options of {@link createCallerApplication}. */
@@ -55,13 +61,11 @@
   addModelRoutes(application, options);
   application.all(
     '/services/:service{/*path}',
-    (request, response, next) => {
-      const limit = options.maximumServiceBodyBytes(
-        String(request.params['service']),
-      );
-      const readBody = express.raw({type: () => true, limit, inflate: false});
-      readBody(request, response, next);
-    },
+    createBodyReader({
+      maximumBytes: request =>
+        options.maximumServiceBodyBytes(String(request.params['service'])),
+      decompresses: false,
+    }),
     createServiceHandler(options.requestPath),
   );
   addAddressRoute(application, options);
@@ -74,6 +78,12 @@
   return application;
 }
 
+/** Errors that do not depend on the body or on what this host will know later. */
+const KEY_ERRORS: ReadonlySet<string> = new Set([
+  REQUEST_ERROR_CODES.invalidApiKey,
+  REQUEST_ERROR_CODES.contractEnded,
+]);
+
 /** Decides as late as possible, since a request may outlast the start of a drain. */
 function closeConnectionWhenLeaving(
   response: ServerResponse,
@@ -93,10 +103,19 @@
   options: CallerApplicationOptions,
 ): void {
   const {requestPath, requestTimeoutMilliseconds} = options;
-  const readJson = express.json({
-    limit: options.maximumBodyBytes,
-    type: () => true,
-  });
+  const readJson: RequestHandler[] = [
+    // A request without a valid key is refused before its body is read.
+    (request, response, next) => {
+      const models = requestPath.listModels(request.get('authorization'));
+      if (models.ok || !KEY_ERRORS.has(models.error.code)) next();
+      else sendError(response, models.error);
+    },
+    createBodyReader({
+      maximumBytes: () => options.maximumBodyBytes,
+      decompresses: true,
+    }),
+    parseJsonBody,
+  ];
   application.post(
     '/v1/chat/completions',
     readJson,
--- a/src/relay/relay_options.ts
+++ b/src/relay/relay_options.ts
@@ -1,3 +1,4 @@
+import type {ByteBudget} from '../bytes/mod.ts';
 import type {RouteIndex, TeamConfiguration} from '../deployment/mod.ts';
 import type {EventLogger, Metrics} from '../observability/mod.ts';
 import type {Clock} from '../time/mod.ts';
@@ -38,6 +39,8 @@
   clock: Clock;
   logger: EventLogger;
   metrics: Metrics;
+  /** Limits the bytes of bodies that are held. */
+  byteBudget: ByteBudget;
   wireFormat: WireFormat;
   /** Index of the current configuration; undefined until one is known. */
   routes: () => RouteIndex | undefined;
--- a/src/relay/request_relay.ts
+++ b/src/relay/request_relay.ts
@@ -1,7 +1,13 @@
 import {createHash} from 'node:crypto';
 import {setMaxListeners} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {pickService, type Route, type RouteIndex} from '../deployment/mod.ts';
+import {
+  pickService,
+  type Route,
+  type RouteIndex,
+  type ServiceConfiguration,
+  type TeamConfiguration,
+} from '../deployment/mod.ts';
 import {
   REQUEST_ERROR_CODES,
   REQUEST_STEPS,
@@ -11,6 +17,7 @@
   RUN_STATES,
 } from '../errors/mod.ts';
 import {breakOff} from '../exchange/mod.ts';
+import type {ByteReservation} from '../bytes/mod.ts';
 import {AttemptLoop} from './_attempt_loop.ts';
 
 import {connectionHeader} from './_connection_header.ts';
@@ -24,6 +31,12 @@
 /** Retry-After value sent while this host has no configuration. */
 const UNCONFIGURED_RETRY_MILLISECONDS = 500;
 
+/** Retry-After value sent while this host holds too many bytes. */
+const FULL_RETRY_MILLISECONDS = 500;
+
+/** Bytes of a refused request's body that are read so that its connection is kept. */
+const MAXIMUM_DISCARDED_BYTES = 8 * 1024 * 1024;
+
 /**
  * Request pipeline: matches a route, authenticates, admits, selects an
  * endpoint, forwards the request and decides on retries. Bodies are opaque.
@@ -67,6 +80,7 @@
     this.openRequests.add(log);
     let isHandled = false;
     let isClosed = false;
+    const reservations: ByteReservation[] = [];
     const callerAbort = new AbortController();
     response.once('close', () => {
       isClosed = true;
@@ -79,6 +93,11 @@
         metadata,
         log,
         callerLeft: callerAbort.signal,
+        reservation: holder => {
+          const reservation = this.options.byteBudget.open(holder);
+          reservations.push(reservation);
+          return reservation;
+        },
       });
       if (error !== undefined)
         this.respondWithError(request, response, metadata, error, log);
@@ -89,6 +108,7 @@
       });
       breakOff(response);
     } finally {
+      for (const reservation of reservations) reservation.release();
       if (callerAbort.signal.aborted) log.callerLeft();
       isHandled = true;
       if (isClosed) this.openRequests.delete(log);
@@ -114,20 +134,27 @@
     log.configurationVersion = index.configuration.version;
     const {signal} = this.stopController;
     if (signal.aborted) return drainingError(REQUEST_STEPS.admit);
-    const received = await readBody(
-      request,
-      index.configuration.limits.bodyBytes,
-      signal,
-    );
-    if (received.kind === 'stopped') return drainingError(REQUEST_STEPS.admit);
-    if (received.kind === 'broken') return undefined;
-    if (received.kind === 'too_large') {
+    const sender = this.identify(request, index, context);
+    if ('code' in sender) return sender;
+    const {bodyBytes} = index.configuration.limits;
+    const declaredBytes = Number(request.headers['content-length'] ?? 0);
+    if (declaredBytes > bodyBytes) return tooLargeError(bodyBytes);
+    const received = await readBody(request, {
+      maximumBytes: bodyBytes,
+      reservation: context.reservation(holderOf(sender, request)),
+      stop: signal,
+    });
+    if (received.kind === 'no_memory') {
       return notRunError(
-        REQUEST_ERROR_CODES.requestTooLarge,
-        REQUEST_STEPS.parse,
-        `The body exceeds ${index.configuration.limits.bodyBytes} bytes`,
+        REQUEST_ERROR_CODES.overloaded,
+        REQUEST_STEPS.admit,
+        'This host holds too many bytes of other requests',
+        FULL_RETRY_MILLISECONDS,
       );
     }
+    if (received.kind === 'stopped') return drainingError(REQUEST_STEPS.admit);
+    if (received.kind === 'broken') return undefined;
+    if (received.kind === 'too_large') return tooLargeError(bodyBytes);
     log.step = REQUEST_STEPS.admit;
     // The configuration may have changed while the body was read.
     const current = this.options.routes() ?? index;
@@ -155,11 +182,12 @@
     return loop.run();
   }
 
-  private admit(
+  /** Finds the route and the team of a request; its head is enough. */
+  private identify(
     request: IncomingMessage,
     index: RouteIndex,
-    {metadata, log, arrivedAt}: RequestContext,
-  ): RoutedRequest | RequestError {
+    {metadata, log}: RequestContext,
+  ): Sender | RequestError {
     const route = index.findRoute(metadata.hostName, request.url ?? '/');
     const service =
       route === undefined ? undefined : this.findService(index, route);
@@ -185,6 +213,18 @@
       );
     }
     log.team = team?.name;
+    return {route, service, team};
+  }
+
+  private admit(
+    request: IncomingMessage,
+    index: RouteIndex,
+    context: RequestContext,
+  ): RoutedRequest | RequestError {
+    const {metadata, arrivedAt} = context;
+    const sender = this.identify(request, index, context);
+    if ('code' in sender) return sender;
+    const {route, service, team} = sender;
     if (team !== undefined) {
       const cost =
         team.unit === 'tokens' ? (metadata.tokens ?? team.defaultTokens) : 1;
@@ -244,6 +284,7 @@
       ...connectionHeader(this.options),
       ...head.headers,
     ]);
+    if (!request.complete) limitDiscardedBytes(request);
     if (request.complete || !isDraining) {
       response.end();
       return;
@@ -261,6 +302,31 @@
   readonly metadata: RequestMetadata;
   readonly log: RequestLog;
   readonly callerLeft: AbortSignal;
+  /** Opens a reservation that lasts as long as the request. */
+  readonly reservation: (holder: string) => ByteReservation;
+}
+
+/** Who sends a request, and where it goes. */
+interface Sender {
+  readonly route: Route;
+  readonly service: ServiceConfiguration;
+  /** Undefined on open routes. */
+  readonly team: TeamConfiguration | undefined;
+}
+
+/** Name under which the bytes of a request's body are counted. */
+function holderOf({team}: Sender, request: IncomingMessage): string {
+  return team === undefined
+    ? `caller ${request.socket.remoteAddress}`
+    : `team ${team.name}`;
+}
+
+function tooLargeError(maximumBytes: number): RequestError {
+  return notRunError(
+    REQUEST_ERROR_CODES.requestTooLarge,
+    REQUEST_STEPS.parse,
+    `The body exceeds ${maximumBytes} bytes`,
+  );
 }
 
 function notRunError(
@@ -289,3 +355,12 @@
     .update(body)
     .digest('base64');
 }
+
+/** Closes the connection of a refused request whose body goes on for too long. */
+function limitDiscardedBytes(request: IncomingMessage): void {
+  let bytes = 0;
+  request.on('data', (chunk: Buffer) => {
+    bytes += chunk.length;
+    if (bytes > MAXIMUM_DISCARDED_BYTES) request.destroy();
+  });
+}
--- a/src/testing/platform_deployment.ts
+++ b/src/testing/platform_deployment.ts
@@ -154,6 +154,7 @@
     drainMilliseconds: 2000,
     configurationMilliseconds: 2000,
     processor: {share: 1, speed: 1},
+    memoryMegabytes: 350,
     linkMegabits: 1000,
     retries: {ratio: 0.2, slack: 56, windowSeconds: 10},
     log: {servedLinesPerSecond: 100, otherLinesPerSecond: 1000},
