Bound the memory of answers that never end

Operators of similar systems saw a faulty engine send bytes without end; the host that had called it kept them all and ran out of memory, and the requests of others ended with it.

Cause: each chunk of a buffered response was kept as an object of its own, up to 8 MB of payload a response, and nothing knew the sum over all responses.

Control calls and the daemon's exchanges with engines copy chunks the same way, and peers may send 16 fragments a message at most.

--- a/src/endpoints/_http_exchange.ts
+++ b/src/endpoints/_http_exchange.ts
@@ -7,6 +7,7 @@
   type Result,
   success,
 } from '../errors/mod.ts';
+import {ByteCollector} from '../bytes/mod.ts';
 import {watchConnection} from '../exchange/mod.ts';
 import {type Clock, SystemClock} from '../time/mod.ts';
 import {readWithTimeout, InactivityTimeoutError} from './_read_with_timeout.ts';
@@ -150,22 +151,20 @@
   > {
     const answer = await this.open(request);
     if (!answer.ok) return answer;
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const collector = new ByteCollector();
     try {
       for await (const chunk of answer.value.body) {
-        size += chunk.length;
-        if (size > maximumBytes) {
+        if (collector.length + chunk.length > maximumBytes) {
           answer.value.close();
           const reason = `The response is longer than ${maximumBytes} bytes`;
           return failure(this.invalidAnswerError(request.step, reason));
         }
-        chunks.push(chunk);
+        collector.append(chunk);
       }
     } catch (error) {
       return failure(this.toEndpointError(request.step, error));
     }
-    const text = Buffer.concat(chunks).toString('utf8');
+    const text = collector.take().toString('utf8');
     return success({status: answer.value.status, text});
   }
 
--- a/src/endpoints/http_engine_client.ts
+++ b/src/endpoints/http_engine_client.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {ByteCollector} from '../bytes/mod.ts';
 import {CHECKPOINT_TIERS} from '../contracts/mod.ts';
 import {failure, type Result, success} from '../errors/mod.ts';
 import {
@@ -84,6 +85,7 @@
   ),
 });
 
+const MAXIMUM_REJECTION_BYTES = 64 * 1024;
 const MAXIMUM_LINE_LENGTH = 256 * 1024;
 const MAXIMUM_STATE_BYTES = 8 * 1024 * 1024;
 const MAXIMUM_CACHE_BYTES = 64 * 1024 * 1024;
@@ -225,12 +227,12 @@
     status: number,
     body: AsyncIterable<Buffer>,
   ): Promise<EndpointError> {
-    const chunks: Buffer[] = [];
+    const collector = new ByteCollector();
     for await (const chunk of body) {
-      chunks.push(chunk);
-      if (chunks.length > 64) break;
+      if (collector.length + chunk.length > MAXIMUM_REJECTION_BYTES) break;
+      collector.append(chunk);
     }
-    const text = Buffer.concat(chunks).toString('utf8');
+    const text = collector.take().toString('utf8');
     return this.rejectionError('send', status, text);
   }
 
--- a/src/exchange/call_http.ts
+++ b/src/exchange/call_http.ts
@@ -5,6 +5,7 @@
   type Result,
   success,
 } from '../errors/mod.ts';
+import {ByteCollector} from '../bytes/mod.ts';
 import {watchConnection} from './watch_connection.ts';
 
 /** Options of {@link callHttp}. */
@@ -98,14 +99,13 @@
     });
     clientRequest.on('error', fail);
     clientRequest.on('response', response => {
-      const chunks: Buffer[] = [];
-      let bytes = 0;
+      const collector = new ByteCollector();
       response.on('data', (chunk: Buffer) => {
-        bytes += chunk.length;
-        if (bytes <= MAXIMUM_RESPONSE_BYTES) {
-          chunks.push(chunk);
+        if (collector.length + chunk.length <= MAXIMUM_RESPONSE_BYTES) {
+          collector.append(chunk);
           return;
         }
+        collector.clear();
         clientRequest.destroy(
           new Error(`response exceeds ${MAXIMUM_RESPONSE_BYTES} bytes`),
         );
@@ -121,7 +121,7 @@
           success({
             status: response.statusCode ?? 0,
             headers: response.headers,
-            body: Buffer.concat(chunks),
+            body: collector.take(),
           }),
         );
       });
--- a/src/peers/peer_network.ts
+++ b/src/peers/peer_network.ts
@@ -46,6 +46,8 @@
 const DEFAULT_RECONNECT_MILLISECONDS = 500;
 const DEFAULT_IDLE_TIMEOUT_MILLISECONDS = 2500;
 const DEFAULT_MAXIMUM_MESSAGE_BYTES = 16 * 1024 * 1024;
+/** Hosts send each message as one fragment; more only cost memory. */
+const MAXIMUM_FRAGMENTS = 16;
 const DEFAULT_MAXIMUM_QUEUED_BYTES = 32 * 1024 * 1024;
 const DEFAULT_MAXIMUM_STATE_QUEUE_BYTES = 64 * 1024;
 
@@ -84,6 +86,7 @@
     const sockets = new WebSocketServer({
       server,
       maxPayload: this.maximumMessageBytes,
+      maxFragments: MAXIMUM_FRAGMENTS,
       perMessageDeflate: false,
     });
     // `ws` repeats errors of the server, which listenWhenFree logs.
@@ -236,6 +239,7 @@
       this.options.idleTimeoutMilliseconds ?? DEFAULT_IDLE_TIMEOUT_MILLISECONDS;
     const socket = new WebSocket(address, {
       maxPayload: this.maximumMessageBytes,
+      maxFragments: MAXIMUM_FRAGMENTS,
       perMessageDeflate: false,
       handshakeTimeout: idleTimeout,
     });
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -282,8 +282,14 @@
     const {request, response, log} = this.context;
     const {status} = endpointResponse;
     const isSuccess = status >= 200 && status < 300;
-    const body = await bufferResponse(endpointResponse);
+    const reservation = this.options.byteBudget.open(
+      `endpoint ${endpoint.record.id}`,
+    );
+    // The caller may take the body slowly.
+    response.once('close', () => reservation.release());
+    const body = await bufferResponse(endpointResponse, reservation);
     if (body === undefined) {
+      reservation.release();
       endpointResponse.abort();
       if (!this.isAborted) this.recordBrokenEndpoint(endpoint);
       return {kind: 'broken', reason: 'answer broke off', isDisconnected: true};
--- a/src/relay/endless_response_test.ts
+++ b/src/relay/endless_response_test.ts
@@ -8,6 +8,7 @@
   sendToEndpoint,
 } from '../exchange/mod.ts';
 import {bufferResponse} from './_buffer_response.ts';
+import {ByteBudget} from '../bytes/mod.ts';
 import {EventSplitter} from './_event_splitter.ts';
 import {streamResponse} from './_stream_response.ts';
 
@@ -86,7 +87,9 @@
     const {address, sent} = await startEndless(HEAD, CHUNK);
     const outcome = await sendTo(address);
     if (outcome.kind !== 'answer') throw new Error(outcome.reason);
-    expect(await bufferResponse(outcome)).toBeUndefined();
+    expect(
+      await bufferResponse(outcome, new ByteBudget(Infinity).open('endpoint')),
+    ).toBeUndefined();
     await expect.poll(() => sent.closed).toBe(true);
     expect(sent.bytes).toBeLessThan(TOO_MANY_BYTES);
   });
