Answer requests whose endpoint switches protocols

Cause: Node.js reports such a head with `upgrade` only; without a listener it closes the connection and emits neither `response` nor `error`, so the exchange never ended. The control calls and the daemon's exchanges had the same gap.

All three listen to `upgrade`, close the connection and fail as broken: the request may have run.

--- a/src/endpoints/_http_exchange.ts
+++ b/src/endpoints/_http_exchange.ts
@@ -121,6 +121,11 @@
     let hasConnectionFailed = () => false;
     stream.once('request', (clientRequest: ClientRequest) => {
       hasConnectionFailed = watchConnection(clientRequest);
+      // Without a listener, Node.js closes the connection and reports nothing else.
+      clientRequest.once('upgrade', (_message, socket) => {
+        socket.destroy();
+        stream.destroy(new Error('Switched protocols without being asked'));
+      });
     });
     return new Promise(resolve => {
       stream.once('response', (message: IncomingMessage) => {
--- a/src/exchange/call_http.ts
+++ b/src/exchange/call_http.ts
@@ -98,6 +98,11 @@
       else socket.once('connect', () => (connected = true));
     });
     clientRequest.on('error', fail);
+    // Without a listener, Node.js closes the connection and reports nothing else.
+    clientRequest.on('upgrade', (_message, socket) => {
+      socket.destroy();
+      fail(new Error('switched protocols without being asked'));
+    });
     clientRequest.on('response', response => {
       const collector = new ByteCollector();
       response.on('data', (chunk: Buffer) => {
--- a/src/exchange/send_to_endpoint.ts
+++ b/src/exchange/send_to_endpoint.ts
@@ -137,6 +137,13 @@
         resolve({kind: 'unknown', reason, timedOut});
       }
     });
+    // Without a listener, Node.js closes the connection and reports nothing else.
+    clientRequest.once('upgrade', (_message, socket) => {
+      clearTimeout(timer);
+      socket.destroy();
+      const reason = 'switched protocols without being asked';
+      resolve({kind: 'unknown', reason, timedOut: false});
+    });
     clientRequest.once('close', () => {
       options.signal.removeEventListener('abort', abort);
     });
