Release the bytes of a response also if its caller has left

A host could have refused requests for good: the bytes of a buffered response were given back when its connection closed, which had already happened if the caller left just before the response was whole.

All reservations of a request now end in one place, when it is no longer open: handled, and its response written out or closed. A new case of small_pieces_test.ts fills the share of a team with uploads that are broken off and then sends a whole body, which gets 200 (it covers requests, not this race).

--- a/src/entry/small_pieces_test.ts
+++ b/src/entry/small_pieces_test.ts
@@ -6,6 +6,8 @@
   PLATFORM_KEY,
   platformConfiguration,
 } from '../testing/platform_deployment.ts';
+import {send} from '../testing/platform_caller.ts';
+import {PlatformEndpointStandIn} from '../testing/platform_endpoint_stand_in.ts';
 import {PlatformStoreStandIn} from '../testing/platform_store_stand_in.ts';
 import {BuiltPrograms, ProgramProcess} from '../testing/program_process.ts';
 
@@ -34,6 +36,22 @@
   await store.stop();
 });
 
+async function startHost(): Promise<void> {
+  const [port, readiness, directory, peers] = await freePorts(4);
+  callerPort = port!;
+  program = new ProgramProcess(
+    programs,
+    'entry',
+    entrySettings('host-1', store.address, {
+      callers: port!,
+      readiness: readiness!,
+      directory: directory!,
+      peers: peers!,
+    }),
+  );
+  await program.until(() => program.hasLogged('configurationApplied'));
+}
+
 /**
  * Sends all but the last byte of a body in chunks.
  *
@@ -75,19 +93,7 @@
 ])(
   '$callers bodies in chunks of $chunkBytes bytes with the key $key',
   async ({callers, chunkBytes, key, status}) => {
-    const [port, readiness, directory, peers] = await freePorts(4);
-    callerPort = port!;
-    program = new ProgramProcess(
-      programs,
-      'entry',
-      entrySettings('host-1', store.address, {
-        callers: port!,
-        readiness: readiness!,
-        directory: directory!,
-        peers: peers!,
-      }),
-    );
-    await program.until(() => program.hasLogged('configurationApplied'));
+    await startHost();
     let largest = 0;
     const timer = setInterval(() => {
       largest = Math.max(largest, program.residentMegabytes);
@@ -102,3 +108,23 @@
     expect(new Set(statuses)).toContain(status);
   },
 );
+
+// Guards against a host that refuses requests for ever, since the bytes of callers that
+// have left still count.
+test('uploads that are broken off give their bytes back', async () => {
+  const endpoint = await PlatformEndpointStandIn.start(
+    {id: 'plain-1', service: 'plain'},
+    store,
+  );
+  await startHost();
+  await program.until(() => program.hasLogged('endpointFound'));
+  const uploads = Array.from({length: 40}, () => upload(PLATFORM_KEY, 16_000));
+  expect(new Set(await Promise.all(uploads))).toContain('503');
+  const answer = await send(callerPort, {
+    path: '/order/x',
+    method: 'POST',
+    body: 'x'.repeat(BODY_BYTES),
+  });
+  expect(answer.status).toBe(200);
+  await endpoint.stop();
+});
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -282,11 +282,9 @@
     const {request, response, log} = this.context;
     const {status} = endpointResponse;
     const isSuccess = status >= 200 && status < 300;
-    const reservation = this.options.byteBudget.open(
+    const reservation = this.context.reservation(
       `endpoint ${endpoint.record.id}`,
     );
-    // The caller may take the body slowly.
-    response.once('close', () => reservation.release());
     const body = await bufferResponse(endpointResponse, reservation);
     if (body === undefined) {
       reservation.release();
--- a/src/relay/request_relay.ts
+++ b/src/relay/request_relay.ts
@@ -82,9 +82,13 @@
     let isClosed = false;
     const reservations: ByteReservation[] = [];
     const callerAbort = new AbortController();
+    const end = () => {
+      this.openRequests.delete(log);
+      for (const reservation of reservations) reservation.release();
+    };
     response.once('close', () => {
       isClosed = true;
-      if (isHandled) this.openRequests.delete(log);
+      if (isHandled) end();
       if (!response.writableFinished) callerAbort.abort();
     });
     try {
@@ -108,10 +112,9 @@
       });
       breakOff(response);
     } finally {
-      for (const reservation of reservations) reservation.release();
       if (callerAbort.signal.aborted) log.callerLeft();
       isHandled = true;
-      if (isClosed) this.openRequests.delete(log);
+      if (isClosed) end();
     }
   }
 
@@ -172,6 +175,7 @@
       body: received.body,
       fingerprint: fingerprint(admitted, request, received.body),
       response,
+      reservation: context.reservation,
       callerLeft,
       hostStops: this.stopController.signal,
       log,
@@ -302,7 +306,7 @@
   readonly metadata: RequestMetadata;
   readonly log: RequestLog;
   readonly callerLeft: AbortSignal;
-  /** Opens a reservation that lasts as long as the request. */
+  /** Opens a reservation that lasts until the response is written out. */
   readonly reservation: (holder: string) => ByteReservation;
 }
 
