Follow the evacuations of data centres

Cause: an operator could not take the traffic off a data centre; the rows of the configuration table other than the configuration were ignored.

Log events 240 to 242 and a gauge show it. A row of an unknown data centre, a repeated one and the removal of none change nothing and are logged. An endpoint's change of its data centre is now published to the other hosts.

--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -2,6 +2,7 @@
 import {EndpointRouter, ReplicaMap} from '../engines/mod.ts';
 import {
   EndpointRegistry,
+  EvacuatedDataCentres,
   FleetLoad,
   FleetShares,
   FleetTopology,
@@ -131,6 +132,14 @@
         maximumConnections: service => maximumConnections(container, service),
       }),
   );
+  container.bind(EvacuatedDataCentres).toDynamicValue(
+    () =>
+      new EvacuatedDataCentres({
+        logger,
+        metrics: container.get(Metrics),
+        endpoints: container.get(EndpointRegistry),
+      }),
+  );
   container.bind(FleetLoad).toDynamicValue(
     () =>
       new FleetLoad({
@@ -211,6 +220,7 @@
         configuration: container.get(ConfigurationSource),
         endpoints: container.get(EndpointRegistry),
         hosts: container.get(HostRegistry),
+        evacuations: container.get(EvacuatedDataCentres),
         drainMilliseconds: settings.drainMilliseconds,
         configurationMilliseconds: settings.configurationMilliseconds,
         isFirstStart: settings.isFirstStart,
--- a/src/entry/late_updates_test.ts
+++ b/src/entry/late_updates_test.ts
@@ -1,7 +1,11 @@
 import {afterEach, describe, expect, test} from 'vitest';
 import {failure, type Result, success} from '../errors/mod.ts';
-import {EndpointRegistry, HostRegistry} from '../fleet/mod.ts';
-import {SILENT_LOGGER} from '../observability/mod.ts';
+import {
+  EndpointRegistry,
+  EvacuatedDataCentres,
+  HostRegistry,
+} from '../fleet/mod.ts';
+import {Metrics, SILENT_LOGGER} from '../observability/mod.ts';
 import {createPlatform} from '../platform/mod.ts';
 import {
   type Row,
@@ -145,11 +149,15 @@
       routes: [],
       services: [],
     });
-  const writeEndpoint = (state: string, sequence: number) =>
-    store.write(platform.endpointTable, 'e1', {
+  const writeEndpoint = (
+    state: string,
+    sequence: number,
+    {key, zone} = {key: 'e1', zone: 'zone-a'},
+  ) =>
+    store.write(platform.endpointTable, key, {
       service: 'plain',
       address: '10.0.0.1:80',
-      zone: 'zone-a',
+      zone,
       slots: 4,
       born: 1,
       state,
@@ -189,6 +197,11 @@
       logger: SILENT_LOGGER,
       configuration,
       endpoints,
+      evacuations: new EvacuatedDataCentres({
+        logger: SILENT_LOGGER,
+        metrics: new Metrics(),
+        endpoints,
+      }),
       hosts: new HostRegistry({
         hostId: `host-${index}`,
         self: () => {
@@ -213,6 +226,7 @@
   }
   writeConfiguration(1);
   writeEndpoint('ready', 0);
+  writeEndpoint('ready', 0, {key: 'e2', zone: 'zone-b'});
   for (const {followers} of fleet) followers.start();
   let state = 'ready';
   const beat = (sequence: number) => {
@@ -225,10 +239,14 @@
     faults,
     fleet,
     store,
-    /** Accepts a configuration and lets the endpoint leave, at the same time. */
+    /**
+     * Accepts a configuration, evacuates the data centre of the second endpoint and
+     * lets the first one leave, at the same time.
+     */
     change: () => {
       state = 'draining';
       writeConfiguration(2);
+      store.write(platform.configurationTable, 'evacuate/zone-b', {});
       writeEndpoint(state, 0);
     },
   };
@@ -257,9 +275,9 @@
 function lateHosts(fleet: readonly SimulatedHost[]): string[] {
   return fleet.flatMap(({configuration, endpoints}, index) => [
     ...(configuration.version < 2 ? [`host-${index}: configuration`] : []),
-    ...(endpoints.usable('plain').length > 0
-      ? [`host-${index}: endpoint`]
-      : []),
+    ...endpoints
+      .usable('plain')
+      .map(({record}) => `host-${index}: ${record.id}`),
   ]);
 }
 
@@ -323,7 +341,7 @@
 
 describe('A fleet knows each change in time', () => {
   // Callers were served by an older configuration, and endpoints got requests after
-  // they had said that they leave: hosts took updates that had been held up for
+  // they had said that they leave, or would after their evacuation: hosts took updates that had been held up for
   // fresh ones and did not read the store.
   test.each(CASES)('although $name', async ({hosts, before, at}) => {
     const {clock, faults, fleet, change} = simulate(hosts);
--- a/src/entry/platform_adapter.ts
+++ b/src/entry/platform_adapter.ts
@@ -21,6 +21,11 @@
   /** Table with the operator's configuration, and its row key below. */
   readonly configurationTable: string;
   readonly configurationKey: string;
+  /**
+   * Returns the data centre that a row of the configuration table evacuates, whatever
+   * its value; undefined if the row is not about an evacuation.
+   */
+  decodeEvacuation(key: string): string | undefined;
   /** Table in which endpoints register. */
   readonly endpointTable: string;
   /** Path of the readiness check. */
--- a/src/entry/store_followers.ts
+++ b/src/entry/store_followers.ts
@@ -2,6 +2,7 @@
 import {
   decodeHostRow,
   type EndpointRegistry,
+  type EvacuatedDataCentres,
   type HostRegistry,
   type HostRow,
 } from '../fleet/mod.ts';
@@ -30,6 +31,7 @@
   configuration: ConfigurationSource;
   endpoints: EndpointRegistry;
   hosts: HostRegistry;
+  evacuations: EvacuatedDataCentres;
   /** Time within which a leaving endpoint must get no new requests. */
   drainMilliseconds: number;
   /** Time within which a new configuration must be applied. */
@@ -144,8 +146,19 @@
       maximumAgeMilliseconds: () =>
         this.maximumAge(configurationMilliseconds, CONFIGURATION_AGE_SHARE),
       boundMilliseconds: configurationMilliseconds,
-      onSnapshot: (rows, source) => this.applyConfiguration(rows, source),
-      onChanges: (rows, source) => this.applyConfiguration(rows, source),
+      onSnapshot: (rows, source) => {
+        // Before the configuration, which makes this host ready for requests.
+        const evacuated = new Set(this.decodeEvacuations(rows).keys());
+        const hasChanged = options.evacuations.applySnapshot(evacuated, source);
+        if (hasChanged) options.onEndpointsChanged();
+        this.applyConfiguration(rows, source);
+      },
+      onChanges: (rows, source) => {
+        const changes = this.decodeEvacuations(rows);
+        const hasChanged = options.evacuations.applyChanges(changes, source);
+        if (hasChanged) options.onEndpointsChanged();
+        this.applyConfiguration(rows, source);
+      },
     });
     this.endpoints = new TableFollower({
       ...common,
@@ -301,6 +314,7 @@
       : JSON.stringify([
           record.service,
           record.address,
+          record.dataCentre,
           record.state,
           record.slots,
           record.startedAt,
@@ -316,6 +330,19 @@
     }
   }
 
+  /** Whether each data centre that the rows name is evacuated. */
+  private decodeEvacuations(
+    rows: readonly Row[],
+  ): ReadonlyMap<string, boolean> {
+    const evacuations = new Map<string, boolean>();
+    for (const {key, value} of rows) {
+      const dataCentre = this.options.platform.decodeEvacuation(key);
+      if (dataCentre !== undefined)
+        evacuations.set(dataCentre, value !== undefined);
+    }
+    return evacuations;
+  }
+
   private decodeEndpoints(
     rows: readonly Row[],
   ): ReadonlyMap<string, EndpointRecord | undefined> {
--- a/src/entry/store_followers_test.ts
+++ b/src/entry/store_followers_test.ts
@@ -1,7 +1,11 @@
 import {expect, test} from 'vitest';
 import {success} from '../errors/mod.ts';
-import {EndpointRegistry, HostRegistry} from '../fleet/mod.ts';
-import {SILENT_LOGGER} from '../observability/mod.ts';
+import {
+  EndpointRegistry,
+  EvacuatedDataCentres,
+  HostRegistry,
+} from '../fleet/mod.ts';
+import {Metrics, SILENT_LOGGER} from '../observability/mod.ts';
 import {createPlatform} from '../platform/mod.ts';
 import {
   type Row,
@@ -80,6 +84,12 @@
     },
   };
   const published: TableUpdate[] = [];
+  const endpoints = new EndpointRegistry({
+    clock,
+    logger: SILENT_LOGGER,
+    maximumConnections: () => 1,
+    storeRegainedAt: () => Number.NEGATIVE_INFINITY,
+  });
   const followers = new StoreFollowers({
     platform: {...platform, store},
     clock,
@@ -92,11 +102,11 @@
       logger: SILENT_LOGGER,
       onApplied: () => undefined,
     }),
-    endpoints: new EndpointRegistry({
-      clock,
+    endpoints,
+    evacuations: new EvacuatedDataCentres({
       logger: SILENT_LOGGER,
-      maximumConnections: () => 1,
-      storeRegainedAt: () => Number.NEGATIVE_INFINITY,
+      metrics: new Metrics(),
+      endpoints,
     }),
     hosts: new HostRegistry({
       hostId: 'host-1',
--- a/src/fleet/endpoint_registry.ts
+++ b/src/fleet/endpoint_registry.ts
@@ -32,6 +32,8 @@
   /** Those of them of which only a response has told so far. */
   private readonly noticed = new LruSet(MAXIMUM_LEAVING);
   private readonly listeners = new Set<() => void>();
+  private evacuated: ReadonlySet<string> = new Set();
+  private hasSnapshot = false;
 
   constructor(private readonly options: EndpointRegistryOptions) {}
 
@@ -42,10 +44,45 @@
     return [...this.endpoints.values()].filter(
       endpoint =>
         endpoint.record.service === service &&
-        !this.leaving.has(endpoint.incarnation),
+        !this.leaving.has(endpoint.incarnation) &&
+        !this.isEvacuated(endpoint.record),
     );
   }
 
+  /** Whether nothing may be sent to an endpoint, since its data centre is evacuated. */
+  isEvacuated({dataCentre}: Pick<EndpointRecord, 'dataCentre'>): boolean {
+    return this.evacuated.has(dataCentre);
+  }
+
+  /** Whether a service has endpoints, but only in evacuated data centres. */
+  isServiceEvacuated(service: string): boolean {
+    if (this.evacuated.size === 0) return false;
+    const records = [...this.endpoints.values()]
+      .map(({record}) => record)
+      .filter(record => record.service === service);
+    return (
+      records.length > 0 && records.every(record => this.isEvacuated(record))
+    );
+  }
+
+  /** Replaces the set of evacuated data centres. */
+  setEvacuated(dataCentres: ReadonlySet<string>): void {
+    this.evacuated = dataCentres;
+    for (const listener of this.listeners) listener();
+  }
+
+  /** Whether the endpoints have been read, so that a data centre without any is unknown. */
+  get isPopulated(): boolean {
+    return this.hasSnapshot;
+  }
+
+  /** Number of endpoints in a data centre, including leaving ones. */
+  countIn(dataCentre: string): number {
+    return [...this.endpoints.values()].filter(
+      ({record}) => record.dataCentre === dataCentre,
+    ).length;
+  }
+
   /** Returns the current process of an endpoint. */
   find(id: string): Endpoint | undefined {
     return this.endpoints.get(id);
@@ -89,6 +126,7 @@
     records: ReadonlyMap<string, EndpointRecord | undefined>,
     era = 0,
   ): void {
+    this.hasSnapshot = true;
     for (const id of [...this.endpoints.keys()]) {
       if (!records.has(id)) this.remove(id);
     }
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -23,6 +23,11 @@
   type EndpointRegistryOptions,
   LAPSE_GRACE_MILLISECONDS,
 } from './endpoint_registry.ts';
+export {
+  EvacuatedDataCentres,
+  type EvacuatedDataCentresOptions,
+  type EvacuationSource,
+} from './evacuated_data_centres.ts';
 export {
   decodeHostRow,
   encodeHostRow,
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -136,6 +136,21 @@
     message:
       'Store came back from an older copy; reading the whole table again',
   },
+  dataCentreEvacuated: {
+    number: 240,
+    level: 'warn',
+    message: 'Data centre is evacuated; nothing is sent to its endpoints',
+  },
+  dataCentreReturned: {
+    number: 241,
+    level: 'info',
+    message: 'Evacuation of a data centre is cancelled; its endpoints are used',
+  },
+  evacuationUnchanged: {
+    number: 242,
+    level: 'warn',
+    message: 'Change of an evacuation has no effect',
+  },
   configurationApplied: {
     number: 233,
     level: 'info',
--- a/src/platform/create_platform.ts
+++ b/src/platform/create_platform.ts
@@ -7,6 +7,9 @@
 
 const ADDRESS_PATH = '/limpetdale/resolution';
 
+/** Prefix of the operator's rows that evacuate a data centre. */
+const EVACUATION_PREFIX = 'evacuate/';
+
 /** Creates the adapter for a platform; `options` locate its store. */
 export function createPlatform(options: StoreClientOptions): PlatformAdapter {
   return {
@@ -15,6 +18,7 @@
     wireFormat: PLATFORM_WIRE_FORMAT,
     configurationTable: 'op',
     configurationKey: 'config',
+    decodeEvacuation,
     endpointTable: 'servers',
     readinessPath: '/limpetdale/readiness',
     decodeConfiguration: value => decodeConfiguration(parse(value)),
@@ -29,6 +33,12 @@
   };
 }
 
+function decodeEvacuation(key: string): string | undefined {
+  if (!key.startsWith(EVACUATION_PREFIX)) return undefined;
+  const dataCentre = key.slice(EVACUATION_PREFIX.length);
+  return dataCentre === '' ? undefined : dataCentre;
+}
+
 function parseAddressQuery(url: string): AddressQuery | undefined {
   const {pathname, searchParams} = new URL(url, 'http://host');
   if (pathname !== ADDRESS_PATH) return undefined;
--- a/src/platform/decode_test.ts
+++ b/src/platform/decode_test.ts
@@ -1,5 +1,6 @@
 import {describe, expect, test} from 'vitest';
 import {platformConfiguration} from '../testing/platform_deployment.ts';
+import {createPlatform} from './create_platform.ts';
 import {decodeConfiguration} from './decode_configuration.ts';
 import {decodeEndpoint} from './decode_endpoint.ts';
 
@@ -74,6 +75,19 @@
   });
 });
 
+// Guards against other rows of the table, or one without a name, that would evacuate
+// all endpoints without a data centre.
+test.each([
+  ['evacuate/zone-a', 'zone-a'],
+  ['evacuate/zone/a', 'zone/a'],
+  ['evacuate/', undefined],
+  ['evacuate', undefined],
+  ['config', undefined],
+])('the row "%s" evacuates %s', (key, dataCentre) => {
+  const platform = createPlatform({address: '', timeoutMilliseconds: 100});
+  expect(platform.decodeEvacuation(key)).toBe(dataCentre);
+});
+
 describe('decodeConfiguration', () => {
   test.each([undefined, 'text', {}, {version: '7'}])(
     '%j is not a configuration',
--- a/src/testing/restorable_store.ts
+++ b/src/testing/restorable_store.ts
@@ -25,6 +25,13 @@
     this.rows.set(`${table} ${key}`, row);
   }
 
+  /** Removes a row as the operator would; readers of changes get it without a value. */
+  remove(table: string, key: string): void {
+    this.version++;
+    const row = {table, key, value: undefined, version: this.version};
+    this.rows.set(`${table} ${key}`, row);
+  }
+
   /** Takes a copy. */
   copy(): StoreCopy {
     return {rows: new Map(this.rows), version: this.version};
@@ -43,7 +50,10 @@
     if (afterVersion > this.version) return this.fail('history_lost');
     const page: RowPage = {
       rows: [...this.rows.values()].filter(
-        row => row.table === table && row.version > afterVersion,
+        row =>
+          row.table === table &&
+          row.version > afterVersion &&
+          (row.value !== undefined || afterVersion > 0),
       ),
       version: this.version,
       era: this.era,
