Send no queued order to an evacuated engine

Cause: an order that waits for an eviction was sent although the engine's data centre was evacuated meanwhile, and a load from the weight store that goes on there no longer counted against the concurrent ones.

Change: the dispatcher checks each order just before it is sent, also whether the engine's state is still the current one. Loads of evacuated engines count until their expected end (DetachedLoads). Engines that return are asked for a report before any order, like new ones.

--- a/src/engines/_order_dispatcher.ts
+++ b/src/engines/_order_dispatcher.ts
@@ -14,7 +14,7 @@
   metrics: Metrics;
   /** Fencing token of the manager's current term; undefined outside a term. */
   epoch: () => number | undefined;
-  /** Whether an engine still belongs to the pool. */
+  /** Whether an engine still belongs to the pool and may be contacted. */
   isKnown: (engine: EngineState) => boolean;
   /** Called when the targets that hosts may use have changed. */
   onChange: () => void;
@@ -79,12 +79,14 @@
     model: string,
     adapter: string | undefined,
   ): Promise<OrderOutcome> {
-    const {lease, control, logger, metrics, hostId} = this.options;
+    const {lease, control, logger, metrics, hostId, isKnown} = this.options;
     const {epoch} = lease;
     const isCurrentTerm = epoch !== undefined && epoch === this.options.epoch();
     if (!isCurrentTerm || !lease.mayIssueOrders()) {
       return 'unsent';
     }
+    // It may have waited for evictions or notices, while the engine was evacuated.
+    if (!isKnown(engine)) return 'unsent';
     const expectedOrders = engine.ordersAccepted;
     if (expectedOrders === undefined) return 'unsent';
     lease.beginOrder();
--- a/src/engines/forecast_loads.ts
+++ b/src/engines/forecast_loads.ts
@@ -26,6 +26,13 @@
   readonly remoteReadyIn: number;
 }
 
+/** Forecast of a pool without any. */
+export const NO_FORECAST: LoadForecast = {
+  readyIn: new Map(),
+  remoteOnly: new Set(),
+  remoteReadyIn: 0,
+};
+
 /**
  * Estimates when the models that requests wait for will be ready. Designed for
  * more rarely used models than the engines and the weight store can load in
--- a/src/engines/mod.ts
+++ b/src/engines/mod.ts
@@ -40,7 +40,8 @@
 export {LEASE_TABLE, PoolLease} from './pool_lease.ts';
 export type {LeaseRenewal} from './lease_renewal.ts';
 export type {PoolLeaseOptions} from './pool_lease_options.ts';
-export {PoolManager, type PoolManagerOptions} from './pool_manager.ts';
+export {PoolManager} from './pool_manager.ts';
+export type {PoolManagerOptions} from './pool_manager_options.ts';
 export {
   RemoteLoadBudget,
   type RemoteLoadBudgetOptions,
--- a/src/engines/pool_manager.ts
+++ b/src/engines/pool_manager.ts
@@ -1,51 +1,31 @@
-import type {
-  EnginePoolConfiguration,
-  ServiceConfiguration,
-} from '../deployment/mod.ts';
-import type {EndpointRegistry, FleetLoad} from '../fleet/mod.ts';
-import type {EventLogger, Metrics} from '../observability/mod.ts';
-import type {EndpointLimits} from '../permits/mod.ts';
-import {type Clock, sleep} from '../time/mod.ts';
+import type {EnginePoolConfiguration} from '../deployment/mod.ts';
+import {sleep} from '../time/mod.ts';
 import {describeReplicas, ReplicaAnnouncer} from './replica_announcer.ts';
 import {AdapterLoader} from './_adapter_loader.ts';
 import {demandByModel} from './_demand_by_model.ts';
+import {DetachedLoads} from './_detached_loads.ts';
 import {EngineReporter} from './_engine_reporter.ts';
 import {OrderDispatcher} from './_order_dispatcher.ts';
+import {preloadConcurrency} from './_preload_concurrency.ts';
 import {snapshotEngines} from './_snapshot_engines.ts';
 import {splitTarget} from './_split_target.ts';
 import {ArrivalRates} from './arrival_rates.ts';
 import {EngineState, type PendingOrder} from './engine_state.ts';
-import type {EngineControl} from './engine_control.ts';
 import {expectedRates} from './expected_rates.ts';
-import {forecastLoads, type LoadForecast} from './forecast_loads.ts';
+import {
+  forecastLoads,
+  type LoadForecast,
+  NO_FORECAST,
+} from './forecast_loads.ts';
 import {expectedLoadMilliseconds} from './load_tier.ts';
-import type {ModelDemand} from './model_demand.ts';
 import {planPlacement} from './plan_placement.ts';
 import type {PlannedLoad} from './planned_load.ts';
-import type {PoolLease} from './pool_lease.ts';
+import type {PoolManagerOptions} from './pool_manager_options.ts';
 import {RemoteLoadBudget} from './remote_load_budget.ts';
 import type {ReplicaAnnouncement} from './replica_map.ts';
 import type {ReplicaState} from './replica_state.ts';
 import {UnmetDemand} from './unmet_demand.ts';
 
-/** Options of {@link PoolManager}. */
-export interface PoolManagerOptions {
-  service: () => ServiceConfiguration | undefined;
-  hostId: string;
-  /** Identity of this process. */
-  incarnation: string;
-  lease: PoolLease;
-  registry: EndpointRegistry;
-  load: FleetLoad;
-  limits: EndpointLimits;
-  control: EngineControl;
-  clock: Clock;
-  logger: EventLogger;
-  metrics: Metrics;
-  /** Sends an announcement to all hosts, including this one. */
-  announce: (announcement: ReplicaAnnouncement) => void;
-}
-
 /** Interval between placement rounds. */
 const ROUND_MILLISECONDS = 150;
 
@@ -61,21 +41,6 @@
 /** Interval between rounds on a host that does not manage the pool. */
 const IDLE_ROUND_MILLISECONDS = 1000;
 
-/** Maximum concurrent preloads while no request waits for a load. */
-const PRELOAD_CONCURRENCY = 4;
-
-/**
- * Maximum concurrent preloads while requests wait. Lower, because each load
- * blocks an engine for seconds.
- */
-const BUSY_PRELOAD_CONCURRENCY = 2;
-
-const NO_FORECAST: LoadForecast = {
-  readyIn: new Map(),
-  remoteOnly: new Set(),
-  remoteReadyIn: 0,
-};
-
 /** Loads and unloads the models of one pool while this host holds its lease. */
 export class PoolManager {
   private readonly stopping = new AbortController();
@@ -86,6 +51,7 @@
   private readonly reporter: EngineReporter;
   private readonly adapters: AdapterLoader;
   private readonly announcer: ReplicaAnnouncer;
+  private readonly detachedLoads = new DetachedLoads();
   private budget: RemoteLoadBudget | undefined;
   private epoch: number | undefined;
   private wake: () => void = () => undefined;
@@ -98,7 +64,7 @@
     this.orders = new OrderDispatcher({
       ...options,
       epoch: () => this.epoch,
-      isKnown: engine => this.engines.get(engine.record.id) === engine,
+      isKnown: engine => this.isManaged(engine),
       onChange,
     });
     this.reporter = new EngineReporter({
@@ -198,6 +164,7 @@
       now,
       incarnation => this.options.limits.rateOf(incarnation),
     );
+    this.detachedLoads.takeEnded(now, () => this.budget?.abandon());
     const remoteLoadsAllowed = this.budget.allowed(now);
     const loads = planPlacement({
       pool,
@@ -207,7 +174,7 @@
       remoteLoadsRunning: this.budget.active,
       preloadsAllowed: Math.max(
         0,
-        this.preloadConcurrency(demand) - this.budget.active,
+        preloadConcurrency(demand) - this.budget.active,
       ),
     });
     this.forecast = forecastLoads({
@@ -215,11 +182,14 @@
       engines,
       demand,
       remoteLoadsAllowed,
-      remoteLoadsEndIn: [...this.engines.values()].flatMap(({pending}) =>
-        pending?.tier === 'remote'
-          ? [Math.max(0, pending.expectedAt - now)]
-          : [],
-      ),
+      remoteLoadsEndIn: [
+        ...[...this.engines.values()].flatMap(({pending}) =>
+          pending?.tier === 'remote'
+            ? [Math.max(0, pending.expectedAt - now)]
+            : [],
+        ),
+        ...this.detachedLoads.endIn(now),
+      ],
     });
     this.forecastAt = now;
     for (const planned of loads) void this.executeLoad(planned, pool);
@@ -233,6 +203,7 @@
 
   private endTerm(): void {
     this.engines.clear();
+    this.detachedLoads.clear();
     this.unmet.clear();
     this.announcer.reset();
     this.forecast = NO_FORECAST;
@@ -265,7 +236,9 @@
     const ids = new Set(usable.map(({record}) => record.id));
     for (const [id, engine] of this.engines) {
       if (ids.has(id)) continue;
-      if (engine.pending?.tier === 'remote') this.budget?.abandon();
+      this.releaseRemoteLoad(engine);
+      // A report that is still awaited must not settle the order once more.
+      engine.pending = undefined;
       this.engines.delete(id);
     }
     for (const {record} of usable) {
@@ -305,11 +278,24 @@
     this.wake();
   }
 
-  private preloadConcurrency(demand: ReadonlyMap<string, ModelDemand>): number {
-    const hasWaitingRequests = [...demand.values()].some(
-      ({waiting}) => waiting > 0,
+  /** Whether orders may be sent to an engine. Its row may be gone or evacuated since. */
+  private isManaged(engine: EngineState): boolean {
+    const {record} = engine;
+    return (
+      this.engines.get(record.id) === engine &&
+      !this.options.registry.isEvacuated(record)
     );
-    return hasWaitingRequests ? BUSY_PRELOAD_CONCURRENCY : PRELOAD_CONCURRENCY;
+  }
+
+  /**
+   * Takes the load of an engine that is no longer managed off the budget: at once if
+   * the engine is gone, else when the load will have ended, since it goes on.
+   */
+  private releaseRemoteLoad({record, pending}: EngineState): void {
+    if (pending?.tier !== 'remote') return;
+    if (this.options.registry.isEvacuated(record))
+      this.detachedLoads.add(pending.expectedAt);
+    else this.budget?.abandon();
   }
 
   private isLoaded(model: string): boolean {
@@ -327,7 +313,8 @@
     const model = pool.models.get(load.model);
     if (engine === undefined || model === undefined || engine.isLocked) return;
     const {clock, logger} = this.options;
-    logger.event('loadDecided', {...load, epoch: this.epoch});
+    const {epoch} = this;
+    logger.event('loadDecided', {...load, epoch});
     engine.isLocked = true;
     engine.reservedFor = load.model;
     if (load.tier === 'remote')
@@ -353,6 +340,8 @@
         startedAt,
         expectedAt: startedAt + expectedLoadMilliseconds(model, load.tier),
       };
+      const isDropped = this.engines.get(engine.record.id) !== engine;
+      if (isDropped && epoch === this.epoch) this.releaseRemoteLoad(engine);
     } finally {
       if (load.tier === 'remote' && !isOrderSent) this.budget?.abandon();
       engine.reservedFor = undefined;
