Move requests away from evacuated endpoints

Cause: between the choice of an endpoint and the send, a request can wait for a permit or the trial of a prompt part, and broken requests open connections that check whether the endpoint has ended.

Change: the relay checks the endpoint again before it sends, waits for permits end with an evacuation, crash checks leave out evacuated endpoints, and requests for a service of which all endpoints are evacuated are refused at once with 503 and Retry-After.

--- a/src/engines/_limited_endpoints.ts
+++ b/src/engines/_limited_endpoints.ts
@@ -32,7 +32,17 @@
 
 /** Endpoints that take no or few requests, as they say in their responses. */
 export class LimitedEndpoints {
-  constructor(private readonly options: LimitedEndpointsOptions) {}
+  /** Ends the waits for permits of each endpoint. */
+  private readonly waits = new Map<AbortController, Endpoint>();
+
+  constructor(private readonly options: LimitedEndpointsOptions) {
+    const {registry} = options;
+    registry.onChange(() => {
+      for (const [wait, {record}] of this.waits) {
+        if (registry.isEvacuated(record)) wait.abort();
+      }
+    });
+  }
 
   /** Whether an endpoint names a limit. */
   has({incarnation}: Endpoint): boolean {
@@ -94,10 +104,26 @@
     const permit = await permits.acquire(endpoint.incarnation, horizon);
     if (permit.kind === 'denied') return permit.returnAt;
     const delay = permit.at - clock.monotonicMilliseconds();
-    if (delay > 0) await sleep(clock, delay, signal);
-    // The endpoint may have begun to leave meanwhile.
+    if (delay > 0) await this.waitForPermit(endpoint, delay, signal);
+    // The endpoint may have begun to leave or been evacuated meanwhile.
     return registry.usable(request.service.name).includes(endpoint)
       ? undefined
       : clock.monotonicMilliseconds();
   }
+
+  /** Ends early once the endpoint is evacuated, so that another one is chosen. */
+  private async waitForPermit(
+    endpoint: Endpoint,
+    milliseconds: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const wait = new AbortController();
+    this.waits.set(wait, endpoint);
+    const end = () => wait.abort();
+    signal.addEventListener('abort', end, {once: true});
+    if (signal.aborted) end();
+    await sleep(this.options.clock, milliseconds, wait.signal);
+    signal.removeEventListener('abort', end);
+    this.waits.delete(wait);
+  }
 }
--- a/src/engines/_refusal.ts
+++ b/src/engines/_refusal.ts
@@ -20,6 +20,23 @@
   );
 }
 
+/**
+ * Retry-After of requests for a service whose endpoints are all evacuated. Nobody knows
+ * when the operator will cancel the evacuation; callers notice the end a second later.
+ */
+const EVACUATED_RETRY_MILLISECONDS = 1000;
+
+/** Refuses a request for a service whose endpoints are all in evacuated data centres. */
+export function serviceEvacuated(
+  service: string,
+): Result<Endpoint, RequestError> {
+  return refusal(
+    REQUEST_ERROR_CODES.noReplica,
+    `All data centres with endpoints of "${service}" are evacuated`,
+    EVACUATED_RETRY_MILLISECONDS,
+  );
+}
+
 /** Refuses a request that no endpoint has executed. */
 export function refusal(
   code: RequestErrorCode,
--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -26,7 +26,7 @@
 import type {EndpointLimits, PermitBroker} from '../permits/mod.ts';
 import type {Clock} from '../time/mod.ts';
 import {LimitedEndpoints} from './_limited_endpoints.ts';
-import {modelNotFound, refusal} from './_refusal.ts';
+import {modelNotFound, refusal, serviceEvacuated} from './_refusal.ts';
 import type {ReplicaMap} from './replica_map.ts';
 
 /** Options of {@link EndpointRouter}. */
@@ -133,9 +133,13 @@
           this.refused.delete(`${service.name} ${target}`);
           return success(chosen);
         }
-        returnAt.set(chosen.incarnation, roomAt);
+        // Times of evacuated endpoints say nothing of when there will be room.
+        if (this.isEvacuated(chosen)) returnAt.clear();
+        else returnAt.set(chosen.incarnation, roomAt);
         continue;
       }
+      if (this.options.registry.isServiceEvacuated(service.name))
+        return serviceEvacuated(service.name);
       const roomAt = Math.min(...returnAt.values());
       if (!isModelRequest) {
         const now = this.options.clock.monotonicMilliseconds();
@@ -162,6 +166,10 @@
     }
   }
 
+  isEvacuated({record}: Endpoint): boolean {
+    return this.options.registry.isEvacuated(record);
+  }
+
   noteResponse(endpoint: Endpoint, response: NotedResponse): void {
     this.limited.observe(endpoint, response);
   }
--- a/src/entry/_bind_requests.ts
+++ b/src/entry/_bind_requests.ts
@@ -102,6 +102,8 @@
     () =>
       new CrashEvidence({
         clock,
+        isEvacuated: ({record}) =>
+          container.get(EndpointRegistry).isEvacuated(record),
         isConnectionRefused: address =>
           isConnectionRefused(address, CRASH_CHECK_MILLISECONDS),
         isReplaced: ({record, incarnation}) => {
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -103,6 +103,10 @@
         return undefined;
       }
       if (run === undefined) continue;
+      if (endpoints.isEvacuated(acquired.value)) {
+        run.end();
+        continue;
+      }
       const tooLate = findTooLate(request, this.options);
       // What has run may need less time than a whole run, and is owed an answer.
       if (tooLate !== undefined && this.runCount === 0) {
--- a/src/relay/crash_evidence.ts
+++ b/src/relay/crash_evidence.ts
@@ -4,6 +4,8 @@
 /** Options of {@link CrashEvidence}. */
 export interface CrashEvidenceOptions {
   clock: Clock;
+  /** Whether connections to an endpoint are forbidden. */
+  isEvacuated: (endpoint: Endpoint) => boolean;
   /** Whether a new connection to an address is refused. */
   isConnectionRefused: (address: string) => Promise<boolean>;
   /** Whether the endpoint's id belongs to a newer process. */
@@ -46,12 +48,16 @@
   }
 
   private async check(endpoint: Endpoint): Promise<boolean> {
-    const {clock, isConnectionRefused, isReplaced} = this.options;
-    const {address} = endpoint.record;
-    if (isReplaced(endpoint) || (await isConnectionRefused(address)))
-      return true;
-    await sleep(clock, SECOND_CHECK_MILLISECONDS);
-    return isReplaced(endpoint) || (await isConnectionRefused(address));
+    if (await this.hasEnded(endpoint)) return true;
+    await sleep(this.options.clock, SECOND_CHECK_MILLISECONDS);
+    return this.hasEnded(endpoint);
+  }
+
+  private async hasEnded(endpoint: Endpoint): Promise<boolean> {
+    const {isConnectionRefused, isEvacuated, isReplaced} = this.options;
+    if (isReplaced(endpoint)) return true;
+    if (isEvacuated(endpoint)) return false;
+    return isConnectionRefused(endpoint.record.address);
   }
 
   private remember(incarnation: string): void {
--- a/src/relay/endpoint_source.ts
+++ b/src/relay/endpoint_source.ts
@@ -49,6 +49,11 @@
     signal: AbortSignal,
     preference: EndpointPreference,
   ): Promise<Result<Endpoint, RequestError>>;
+  /**
+   * Whether the data centre of an endpoint has been evacuated since the endpoint was
+   * acquired, so that nothing may be sent to it any more.
+   */
+  isEvacuated(endpoint: Endpoint): boolean;
   /** Records what an endpoint says of itself in a response. */
   noteResponse(endpoint: Endpoint, response: NotedResponse): void;
   /** Records that an endpoint refused a request because it was full or lacked the model. */
