--- a/src/testing/entry_fleet.ts
+++ b/src/testing/entry_fleet.ts
@@ -14,6 +14,7 @@
 export interface FleetHost {
   readonly host: EntryHost;
   readonly callerPort: number;
+  readonly readinessPort: number;
 }
 
 /** Entry hosts, endpoints and a store on loopback, for tests. */
@@ -70,7 +71,7 @@
     this.hosts.push(host);
     await this.waitForLines(hostId, 'endpointFound', this.endpoints.length);
     await this.waitForLines(hostId, 'configurationApplied', 1);
-    return {host, callerPort: callers!};
+    return {host, callerPort: callers!, readinessPort: readiness!};
   }
 
   /** Waits until a host has written an event a number of times. */
--- a/src/testing/platform_endpoint_stand_in.ts
+++ b/src/testing/platform_endpoint_stand_in.ts
@@ -86,6 +86,8 @@
   /** Monotonic milliseconds at which requests arrived, run or not. */
   readonly arrivals: number[] = [];
   readonly ran: SeenRequest[] = [];
+  /** Reports that were asked for. */
+  reports = 0;
   readonly orders: {
     operation: string;
     model: string;
@@ -199,6 +201,7 @@
       return;
     }
     if (path === '/limpetdale/report') {
+      this.reports++;
       const report = {
         stage: 'combined',
         models: this.heldModels(),
