Announce a pool without engines

Cause: with more awaited models than loads that may start, and no engine left, the forecast of the next load was infinite. Peers reject such an announcement, so they took the manager for stopped.

Change: an engine is looked for before a slot of the weight store is taken, and without a known slot the forecast is that of a free one.

--- a/src/engines/evacuated_engines_test.ts
+++ b/src/engines/evacuated_engines_test.ts
@@ -1,4 +1,5 @@
 import {describe, expect, test} from 'vitest';
+import {decodePeerFrame, encodePeerFrame} from '../peers/mod.ts';
 import {createManagedPool} from '../testing/managed_pool.ts';
 
 const HELD = (name: string) => ({name, version: 1, adapters: []});
@@ -105,4 +106,35 @@
       manager.stop();
     },
   );
+
+  // Guards against a manager whose announcements the other hosts reject and which they
+  // take for stopped: without any engine, it expected loads after an infinite time.
+  test.each([
+    {zones: ['zone-a', 'zone-b'], name: 'all engines'},
+    {zones: ['zone-a'], name: 'the engines with all loads'},
+  ])('announces its pool when $name are evacuated', async ({zones}) => {
+    const models = Array.from(
+      {length: 6},
+      (_unused, index) => `model-${index}`,
+    );
+    const engines = models.map(id => ({id, onDisk: []}));
+    const outside = {id: 'outside', dataCentre: 'zone-b', onDisk: []};
+    const pool = createManagedPool({engines: [...engines, outside], models});
+    const {announcements, clock, registry, manager, orders, waiting} = pool;
+    const [first] = waiting.splice(0);
+    waiting.push(...models.map(target => ({...first!, target})));
+    void pool.lease.run();
+    void manager.run();
+    await clock.advanceAsync(1300);
+    for (const order of orders()) order.answer('accepted');
+    announcements.length = 0;
+    registry.setEvacuated(new Set(zones));
+    await clock.advanceAsync(2000);
+    expect(announcements.length).toBeGreaterThan(0);
+    for (const announcement of announcements) {
+      const frame = {kind: 'replica_state' as const, hops: 0, ...announcement};
+      expect(decodePeerFrame(encodePeerFrame(frame))).toMatchObject({ok: true});
+    }
+    manager.stop();
+  });
 });
--- a/src/engines/forecast_loads.ts
+++ b/src/engines/forecast_loads.ts
@@ -74,9 +74,10 @@
     const model = pool.models.get(name);
     if (model === undefined || loaded.has(name) || readyIn.has(name)) continue;
     const holders = copies.get(name);
-    const slot = holders === undefined ? takeFirst(remoteSlots) : 0;
     const first = freeFirst(holders ?? engines, freeIn);
-    if (first === undefined || slot === undefined) continue;
+    if (first === undefined) continue;
+    const slot = holders === undefined ? takeFirst(remoteSlots) : 0;
+    if (slot === undefined) continue;
     const startsIn = Math.max(slot, freeIn.get(first.id) ?? 0);
     const tier = nearestTier(first, name);
     const ready = startsIn + expectedLoadMilliseconds(model, tier);
@@ -98,7 +99,9 @@
   return {
     readyIn,
     remoteOnly,
-    remoteReadyIn: Math.min(...remoteSlots) + remoteLoad,
+    // Without a known slot the estimate is too low: peers reject infinite times.
+    remoteReadyIn:
+      (remoteSlots.length === 0 ? 0 : Math.min(...remoteSlots)) + remoteLoad,
   };
 }
 
