--- a/src/platform/wire_names_test.ts
+++ b/src/platform/wire_names_test.ts
@@ -15,6 +15,7 @@
   'Token-Usage',
   'X-Api-Key',
   'api_keys',
+  'evacuate/',
   'fencing_token',
   'if_revision',
   'kv_cache',
