Order engines without a recent order soon after a manager is lost

Cause: a new manager waited 3 s after the last moment at which the former one could have ordered any engine. Replicas of a model that had just become busy were loaded one after the other. Change: managers announce how many orders each engine has accepted, and state the store's time of each renewal in the lease row. A successor counts the age of the row from that time, and orders an engine as soon as its report counts no order that was not announced and the last one is a turn old. Replicas that a model lacks are loaded at the same time. Both are switched on by the settings handover and replicaLoads.

--- a/src/engines/_lease_content.ts
+++ b/src/engines/_lease_content.ts
@@ -12,6 +12,11 @@
    * orders.
    */
   readonly active: boolean;
+  /**
+   * Time of the store's clock at which the renewal that wrote the row started, at the
+   * latest; undefined if the holder does not state it.
+   */
+  readonly renewedStoreMilliseconds?: number;
 }
 
 /** Encodes a lease row as JSON. */
@@ -33,6 +38,9 @@
       era: content.era ?? 0,
       released: content.released ?? false,
       active: content.active ?? true,
+      ...(Number.isFinite(content.renewedStoreMilliseconds)
+        ? {renewedStoreMilliseconds: Number(content.renewedStoreMilliseconds)}
+        : {}),
     };
   } catch {
     // Only this module writes the row. A damaged row is treated as missing.
--- a/src/engines/_order_dispatcher.ts
+++ b/src/engines/_order_dispatcher.ts
@@ -82,7 +82,7 @@
     const {lease, control, logger, metrics, hostId} = this.options;
     const {epoch} = lease;
     const isCurrentTerm = epoch !== undefined && epoch === this.options.epoch();
-    if (!isCurrentTerm || !lease.mayIssueOrders()) {
+    if (!isCurrentTerm || !lease.mayOrder(engine.formerOrderAt)) {
       return 'unsent';
     }
     const expectedOrders = engine.ordersAccepted;
--- a/src/engines/_placement_plan.ts
+++ b/src/engines/_placement_plan.ts
@@ -84,8 +84,8 @@
   /** Replicas and unfinished requests of each model, over all engines. */
   private readonly replicas = new Map<string, number>();
   private readonly inFlight = new Map<string, number>();
-  /** Models that are being loaded or planned to be. */
-  private readonly loading = new Set<string>();
+  /** Loads of each model that are in progress or planned. */
+  private readonly loading = new Map<string, number>();
   /** Cached replica ranges by model. */
   private readonly replicaRanges = new Map<string, ReplicaRange>();
   private remoteLoads: number;
@@ -110,7 +110,8 @@
       for (const [model, requests] of engine.inFlight) {
         increase(this.inFlight, model, requests);
       }
-      if (engine.loading !== undefined) this.loading.add(engine.loading);
+      if (engine.loading !== undefined)
+        increase(this.loading, engine.loading, 1);
     }
   }
 
@@ -125,12 +126,24 @@
     }
   }
 
-  /** Plans further replicas of models whose replicas are at capacity. */
+  /**
+   * Plans further replicas of models whose replicas are at capacity. With
+   * `loadsReplicasTogether`, those that a model lacks are loaded at the same time, one
+   * for each model in turn, so that a model that has just become busy is not limited to
+   * one more engine for each load time.
+   */
   addReplicas(): void {
     const short = [...this.input.demand]
-      .filter(([model]) => !this.isLoading(model) && this.needsReplica(model))
-      .sort(([, left], [, right]) => right.ratePerSecond - left.ratePerSecond);
-    for (const [model] of short) this.planLoad(model, 'replica');
+      .filter(([model]) => this.needsReplica(model))
+      .sort(([, left], [, right]) => right.ratePerSecond - left.ratePerSecond)
+      .map(([model]) => model);
+    let remaining = short.filter(model => this.planLoad(model, 'replica'));
+    if (this.input.loadsReplicasTogether !== true) return;
+    while (remaining.length > 0) {
+      remaining = remaining.filter(
+        model => this.needsReplica(model) && this.planLoad(model, 'replica'),
+      );
+    }
   }
 
   /** Plans loads of models of which no engine has a copy. */
@@ -159,7 +172,7 @@
       best.load.expectedMilliseconds,
     );
     this.loads.push(best.load);
-    this.loading.add(model);
+    increase(this.loading, model, 1);
     for (const evicted of best.load.evictions) {
       increase(this.replicas, evicted, -1);
     }
@@ -313,7 +326,10 @@
 
   /** Standby replicas are added only while no request waits. */
   private needsReplica(model: string): boolean {
-    const replicas = this.replicasOf(model);
+    if (this.isLoading(model) && this.input.loadsReplicasTogether !== true)
+      return false;
+    const loading = this.loading.get(model) ?? 0;
+    const replicas = this.replicasOf(model) + loading;
     const {minimum, required} = this.desiredRange(model);
     const minimumNow = this.hasWaitingRequests
       ? Math.min(minimum, required)
--- a/src/engines/_snapshot_engines.ts
+++ b/src/engines/_snapshot_engines.ts
@@ -14,19 +14,24 @@
  *
  * @param inFlight Unfinished requests by engine and then by target.
  * @param limitOf Requests a second that a process takes; undefined without a limit.
+ * @param orderDelayOf Milliseconds until an engine may get an order.
  */
 export function snapshotEngines(
   engines: Iterable<EngineState>,
   inFlight: ReadonlyMap<string, ReadonlyMap<string, number>>,
   now: number,
   limitOf: (incarnation: string) => number | undefined,
+  orderDelayOf: (engine: EngineState) => number = () => 0,
 ): readonly EngineSnapshot[] {
   return [...engines]
     .filter(engine => !engine.isUnreachable)
     .map(engine => {
       const {pending} = engine;
-      const remaining =
-        pending === undefined ? 0 : Math.max(1, pending.expectedAt - now);
+      const remaining = Math.max(
+        0,
+        orderDelayOf(engine),
+        pending === undefined ? 0 : Math.max(1, pending.expectedAt - now),
+      );
       const isBlocked = engine.isLocked || engine.needsReport;
       return {
         id: engine.record.id,
--- a/src/engines/engine_state.ts
+++ b/src/engines/engine_state.ts
@@ -28,6 +28,11 @@
    */
   ordersAccepted: number | undefined;
   pending: PendingOrder | undefined;
+  /**
+   * Monotonic time before which former managers sent their last order; undefined if
+   * unknown.
+   */
+  formerOrderAt: number | undefined;
   /** Models and adapters withdrawn from use because they will be unloaded. */
   readonly withdrawn = new Set<string>();
   /** Monotonic time of the last use of each adapter. */
--- a/src/engines/mod.ts
+++ b/src/engines/mod.ts
@@ -37,7 +37,7 @@
 export {type PlacementInput, planPlacement} from './plan_placement.ts';
 export type {EngineSnapshot} from './engine_snapshot.ts';
 export type {PlannedLoad} from './planned_load.ts';
-export {LEASE_TABLE, PoolLease} from './pool_lease.ts';
+export {PoolLease} from './pool_lease.ts';
 export type {LeaseRenewal} from './lease_renewal.ts';
 export type {PoolLeaseOptions} from './pool_lease_options.ts';
 export {PoolManager, type PoolManagerOptions} from './pool_manager.ts';
@@ -47,6 +47,7 @@
 } from './remote_load_budget.ts';
 export {
   ANNOUNCEMENT_LIFETIME_MILLISECONDS,
+  type AnnouncedOrders,
   type ReplicaAnnouncement,
   ReplicaMap,
   type ReplicaMapOptions,
--- a/src/engines/plan_placement.ts
+++ b/src/engines/plan_placement.ts
@@ -19,6 +19,11 @@
    * waits.
    */
   readonly preloadsAllowed: number;
+  /**
+   * Whether all replicas that a model lacks are loaded at the same time, in place of one
+   * after the other. @default false
+   */
+  readonly loadsReplicasTogether?: boolean;
 }
 
 /**
--- a/src/engines/plan_placement_test.ts
+++ b/src/engines/plan_placement_test.ts
@@ -428,3 +428,49 @@
     preloadsAllowed: entry.preloads ?? 0,
   };
 }
+
+describe('a model that has just become busy', () => {
+  const IDLE = ['e2', 'e3', 'e4', 'e5', 'e6'];
+  const input = (
+    more: Partial<PlacementInput>,
+    idle: Partial<EngineSnapshot> = {},
+  ): PlacementInput => ({
+    pool: TERMS,
+    engines: [
+      engine('e1', ['busy'], {inFlight: new Map([['busy', 10]])}),
+      ...IDLE.map(id => engine(id, [], {onDisk: new Set(['busy']), ...idle})),
+    ],
+    demand: new Map([['busy', steady(8)]]),
+    remoteLoadsAllowed: 0,
+    remoteLoadsRunning: 0,
+    preloadsAllowed: 0,
+    ...more,
+  });
+
+  // Guards against a model whose replicas are added one load time after the other while
+  // its only engine is full: ten requests at 3.5 for each replica need three engines.
+  test.each([
+    {name: 'one at a time', loadsReplicasTogether: false, expected: 1},
+    {name: 'all at once', loadsReplicasTogether: true, expected: 2},
+  ])(
+    'gets the replicas it lacks $name',
+    ({loadsReplicasTogether, expected}) => {
+      const loads = planPlacement(input({loadsReplicasTogether}));
+      expect(loads.map(({model}) => model)).toEqual(
+        Array.from({length: expected}, () => 'busy'),
+      );
+      expect(new Set(loads.map(({engineId}) => engineId)).size).toBe(expected);
+    },
+  );
+
+  // Guards against more replicas than needed, planned in each round of a load.
+  test('counts the replicas that are being loaded', () => {
+    const plan = input({loadsReplicasTogether: true});
+    const engines = plan.engines.map(snapshot =>
+      snapshot.id === 'e2' || snapshot.id === 'e3'
+        ? {...snapshot, loading: 'busy', busyMilliseconds: 500}
+        : snapshot,
+    );
+    expect(planPlacement({...plan, engines})).toEqual([]);
+  });
+});
--- a/src/engines/pool_lease.ts
+++ b/src/engines/pool_lease.ts
@@ -1,17 +1,16 @@
 import {unreachable} from '../errors/mod.ts';
 import {sleep} from '../time/mod.ts';
-import {decodeLease, encodeLease, type LeaseContent} from './_lease_content.ts';
+import type {LeaseContent} from './_lease_content.ts';
+import {LeaseHistory, VALIDITY_MILLISECONDS} from './_lease_history.ts';
 import {
-  LeaseHistory,
-  type Observation,
-  VALIDITY_MILLISECONDS,
-} from './_lease_history.ts';
+  LEASE_TABLE,
+  type LeaseRow,
+  LeaseRowWriter,
+} from './_lease_row_writer.ts';
+import {LeaseWatch} from './_lease_watch.ts';
 import type {LeaseRenewal} from './lease_renewal.ts';
 import type {PoolLeaseOptions} from './pool_lease_options.ts';
 
-/** Table of the leases. */
-export const LEASE_TABLE = 'leases';
-
 const RENEWAL_MILLISECONDS = 500;
 
 /**
@@ -20,9 +19,6 @@
  */
 const RENEWAL_RETRY_MILLISECONDS = 100;
 
-/** Time for which a row must be unchanged before another host may take over. */
-const TAKEOVER_MILLISECONDS = 1800;
-
 const POLL_MILLISECONDS = 300;
 
 const STORE_RESTORED_REASON = 'the store has come back from an older copy';
@@ -30,6 +26,12 @@
 /** Time after which an order that was sent has arrived or been abandoned. */
 const ORDER_TIMEOUT_MILLISECONDS = 1000;
 
+/**
+ * Time by which the report of an engine can lag behind its state. The platform names
+ * some hundred milliseconds.
+ */
+const REPORT_LAG_MILLISECONDS = 500;
+
 /** Pause after a failed attempt to acquire the lease. */
 const LOST_RACE_PAUSE_MILLISECONDS = 600;
 
@@ -54,7 +56,6 @@
   private held: HeldLease | undefined;
   private renewedAt = Number.NEGATIVE_INFINITY;
   private renewedWallTime = 0;
-  private observedRow: Observation | undefined;
   /**
    * Start of the first renewal since the last success whose outcome is unknown.
    */
@@ -63,9 +64,13 @@
   private lastOrderAt = Number.NEGATIVE_INFINITY;
   private ordersInFlight = 0;
   private readonly history: LeaseHistory;
+  private readonly row: LeaseRowWriter;
+  private readonly watch: LeaseWatch;
 
   constructor(private readonly options: PoolLeaseOptions) {
     this.history = new LeaseHistory(options);
+    this.row = new LeaseRowWriter(options);
+    this.watch = new LeaseWatch(options, this.history);
   }
 
   /** Fencing token of the lease; undefined while it isn't held. */
@@ -84,6 +89,48 @@
     );
   }
 
+  /**
+   * Whether this host may send an order to an engine.
+   *
+   * @param formerOrderAt Monotonic time before which former holders sent their last
+   *     order to it; undefined if unknown, so that the delay of the whole pool applies.
+   */
+  mayOrder(formerOrderAt: number | undefined): boolean {
+    return this.isHeld() && this.orderDelay(formerOrderAt) <= 0;
+  }
+
+  /** Milliseconds until {@link mayOrder} allows an order while the lease is held. */
+  orderDelay(formerOrderAt: number | undefined): number {
+    const {held} = this;
+    if (held === undefined) return Number.POSITIVE_INFINITY;
+    const now = this.options.clock.monotonicMilliseconds();
+    if (formerOrderAt === undefined || !this.knowsSettledEngines)
+      return held.ordersAllowedFrom - now;
+    const settledFrom = Math.max(
+      this.engineReportsFrom,
+      formerOrderAt + this.options.handoverDelayMilliseconds,
+    );
+    return Math.min(held.ordersAllowedFrom, settledFrom) - now;
+  }
+
+  /**
+   * Monotonic time from which the reports of engines contain all orders of former
+   * holders; -Infinity if the delay of the whole pool covers that.
+   */
+  get engineReportsFrom(): number {
+    const {held} = this;
+    if (held === undefined || !this.knowsSettledEngines)
+      return Number.NEGATIVE_INFINITY;
+    return Math.min(
+      held.ordersAllowedFrom,
+      held.previousOrderAt + REPORT_LAG_MILLISECONDS,
+    );
+  }
+
+  private get knowsSettledEngines(): boolean {
+    return this.options.ordersBySettledEngine === true;
+  }
+
   /**
    * Whether the lease is held and valid, including during the handover delay
    * when no orders may be sent.
@@ -151,7 +198,7 @@
       if (this.held !== undefined) {
         await sleep(clock, await this.renew(), signal);
       } else if (this.options.hasHeardFromHolder()) {
-        this.observedRow = undefined;
+        this.watch.reset();
         await sleep(clock, POLL_MILLISECONDS, signal);
       } else {
         await this.tryAcquire();
@@ -170,13 +217,20 @@
     this.options.logger.event('leaseReleased', this.fields(held.epoch));
     const now = this.options.clock.monotonicMilliseconds();
     this.options.onResigned?.(held.epoch, this.sinceLastOrder(held));
-    const mark = {released: true, active: now >= held.ordersAllowedFrom};
-    const outcome = await this.write(held.epoch, held.version, mark);
+    const mark = {
+      epoch: held.epoch,
+      released: true,
+      active: now >= held.ordersAllowedFrom,
+    };
+    const outcome = await this.row.write({
+      ...mark,
+      expectedVersion: held.version,
+    });
     // A renewal that was under way may have been stored first.
     if (outcome.kind !== 'conflict') return;
     const {row} = outcome;
     if (row?.content.incarnation === this.options.incarnation) {
-      await this.write(held.epoch, row.version, mark);
+      await this.row.write({...mark, expectedVersion: row.version});
     }
   }
 
@@ -204,7 +258,9 @@
     if (held === undefined) return 0;
     const startedAt = clock.monotonicMilliseconds();
     const startedWallTime = clock.now().getTime();
-    const outcome = await this.write(held.epoch, held.version, {
+    const outcome = await this.row.write({
+      epoch: held.epoch,
+      expectedVersion: held.version,
       released: false,
       active: startedAt >= held.ordersAllowedFrom,
     });
@@ -277,6 +333,7 @@
   private async tryAcquire(): Promise<void> {
     const {clock, store, storeEra, random} = this.options;
     const {signal} = this.stopping;
+    const startedAt = clock.monotonicMilliseconds();
     const page = await store.readTable(LEASE_TABLE);
     const now = clock.monotonicMilliseconds();
     if (signal.aborted) return;
@@ -284,27 +341,9 @@
       await sleep(clock, POLL_MILLISECONDS, signal);
       return;
     }
-    const {era} = page.value;
-    storeEra.observe(era, now);
-    const row = page.value.rows.find(({key}) => key === this.options.scope);
-    const content = row === undefined ? undefined : decodeLease(row.value);
-    const version = row?.version ?? 0;
-    const isSeen = (observed: Observation | undefined) =>
-      observed?.era === era && observed.version === version;
-    if (!isSeen(this.observedRow)) {
-      const {reportedRenewal} = this.history;
-      this.observedRow = isSeen(reportedRenewal)
-        ? reportedRenewal
-        : {era, version, unchangedSince: now};
-    }
-    const hasResigned =
-      content !== undefined && this.history.hasResigned(content);
-    const isAvailable =
-      content === undefined ||
-      content.released ||
-      hasResigned ||
-      content.holder === this.options.hostId ||
-      now - (this.observedRow?.unchangedSince ?? now) >= TAKEOVER_MILLISECONDS;
+    storeEra.observe(page.value.era, now);
+    this.row.recordStoreTime(page.value.storeMilliseconds, startedAt);
+    const {content, version, isAvailable} = this.watch.evaluate(page.value);
     if (!isAvailable) {
       await sleep(clock, POLL_MILLISECONDS, signal);
       return;
@@ -321,16 +360,19 @@
     const {clock, logger, handoverDelayMilliseconds} = this.options;
     const startedAt = clock.monotonicMilliseconds();
     const startedWallTime = clock.now().getTime();
-    const era = this.observedRow?.era ?? 0;
-    const unchangedSince = this.observedRow?.unchangedSince ?? startedAt;
+    const {observation} = this.watch;
+    const era = observation?.era ?? 0;
+    const unchangedSince = observation?.unchangedSince ?? startedAt;
     this.history.recordEpoch(previous?.epoch ?? 0);
     const epoch = this.history.highestEpoch + 1;
     const isOwnTerm = this.history.isOwnTerm(previous, startedAt);
-    const outcome = await this.write(epoch, version, {
+    const outcome = await this.row.write({
+      epoch,
+      expectedVersion: version,
       released: false,
       active: isOwnTerm,
     });
-    this.observedRow = undefined;
+    this.watch.reset();
     if (outcome.kind !== 'committed' || outcome.era !== era) {
       await sleep(clock, LOST_RACE_PAUSE_MILLISECONDS, this.stopping.signal);
       return;
@@ -367,71 +409,7 @@
     });
   }
 
-  private async write(
-    epoch: number,
-    expectedVersion: number,
-    {released, active}: {released: boolean; active: boolean},
-  ): Promise<WriteOutcome> {
-    const {store, hostId, incarnation, scope} = this.options;
-    const content: LeaseContent = {
-      holder: hostId,
-      incarnation,
-      epoch,
-      era: this.options.storeEra.current,
-      released,
-      active,
-    };
-    const outcome = await store.commit([
-      {
-        table: LEASE_TABLE,
-        key: scope,
-        value: encodeLease(content),
-        expectedVersion,
-      },
-    ]);
-    if (!outcome.ok) {
-      this.options.logger.event('leaseWriteFailed', {
-        ...this.fields(epoch),
-        reason: outcome.error.reason,
-        mayHaveHappened: outcome.error.mayHaveHappened,
-      });
-      return {kind: 'failed'};
-    }
-    const {era} = outcome.value;
-    const {storeEra, clock} = this.options;
-    storeEra.observe(era, clock.monotonicMilliseconds());
-    if (outcome.value.kind === 'committed') return outcome.value;
-    const row = outcome.value.rows.find(({key}) => key === scope);
-    const found = row === undefined ? undefined : decodeLease(row.value);
-    return {
-      kind: 'conflict',
-      era,
-      row:
-        row === undefined || found === undefined
-          ? undefined
-          : {content: found, version: row.version},
-    };
-  }
-
   private fields(epoch: number) {
     return {scope: this.options.scope, epoch};
   }
 }
-
-interface LeaseRow {
-  readonly content: LeaseContent;
-  readonly version: number;
-}
-
-type WriteOutcome =
-  | {
-      readonly kind: 'committed';
-      readonly version: number;
-      readonly era: number;
-    }
-  | {
-      readonly kind: 'conflict';
-      readonly row: LeaseRow | undefined;
-      readonly era: number;
-    }
-  | {readonly kind: 'failed'};
--- a/src/engines/pool_lease_options.ts
+++ b/src/engines/pool_lease_options.ts
@@ -17,6 +17,12 @@
    * next.
    */
   handoverDelayMilliseconds: number;
+  /**
+   * Whether a new holder may order engines that have had no order for
+   * `handoverDelayMilliseconds` before the delay of the whole pool has passed.
+   * @default false
+   */
+  ordersBySettledEngine?: boolean;
   /** Whether another holder has been heard from recently. */
   hasHeardFromHolder: () => boolean;
   /**
--- a/src/engines/pool_manager.ts
+++ b/src/engines/pool_manager.ts
@@ -24,7 +24,7 @@
 import type {PlannedLoad} from './planned_load.ts';
 import type {PoolLease} from './pool_lease.ts';
 import {RemoteLoadBudget} from './remote_load_budget.ts';
-import type {ReplicaAnnouncement} from './replica_map.ts';
+import type {AnnouncedOrders, ReplicaAnnouncement} from './replica_map.ts';
 import type {ReplicaState} from './replica_state.ts';
 import {UnmetDemand} from './unmet_demand.ts';
 
@@ -42,6 +42,16 @@
   clock: Clock;
   logger: EventLogger;
   metrics: Metrics;
+  /**
+   * Whether all replicas that a model lacks are loaded at the same time.
+   * @default false
+   */
+  loadsReplicasTogether?: boolean;
+  /** Returns the orders of an engine process that managers have announced. */
+  announcedOrders?: (
+    endpoint: string,
+    startedAt: number,
+  ) => AnnouncedOrders | undefined;
   /** Sends an announcement to all hosts, including this one. */
   announce: (announcement: ReplicaAnnouncement) => void;
 }
@@ -104,12 +114,14 @@
     this.reporter = new EngineReporter({
       ...options,
       signal: this.stopping.signal,
-      onReport: (engine, pending) =>
+      onReport: (engine, pending) => {
+        engine.formerOrderAt ??= this.formerOrderTime(engine);
         this.recordSettledOrder(
           engine,
           pending,
           options.clock.monotonicMilliseconds(),
-        ),
+        );
+      },
       onDropped: () => this.budget?.abandon(),
       wake: () => this.wake(),
     });
@@ -174,7 +186,7 @@
     this.applyRows(service.name, now);
     if (isNewTerm) this.rates.expect(expectedRates(this.engines.values()));
     this.announceChanges();
-    if (!lease.mayIssueOrders() || this.budget === undefined) return;
+    if (!this.mayOrderAny() || this.budget === undefined) return;
     const {load} = this.options;
     const inFlight = load.inFlight();
     const waiting = load.waiting(service.name);
@@ -197,6 +209,7 @@
       inFlight,
       now,
       incarnation => this.options.limits.rateOf(incarnation),
+      engine => lease.orderDelay(engine.formerOrderAt),
     );
     const remoteLoadsAllowed = this.budget.allowed(now);
     const loads = planPlacement({
@@ -205,6 +218,7 @@
       demand,
       remoteLoadsAllowed,
       remoteLoadsRunning: this.budget.active,
+      loadsReplicasTogether: this.options.loadsReplicasTogether ?? false,
       preloadsAllowed: Math.max(
         0,
         this.preloadConcurrency(demand) - this.budget.active,
@@ -224,13 +238,33 @@
     this.forecastAt = now;
     for (const planned of loads) void this.executeLoad(planned, pool);
     this.adapters.startLoads(
-      [...this.engines.values()],
+      [...this.engines.values()].filter(engine =>
+        lease.mayOrder(engine.formerOrderAt),
+      ),
       awaited,
       inFlight,
       pool,
     );
   }
 
+  /**
+   * Time before which former managers sent their last order to an engine, if its report
+   * counts as many orders as they have announced.
+   */
+  private formerOrderTime({
+    record,
+    ordersAccepted,
+  }: EngineState): number | undefined {
+    if (ordersAccepted === 0) return Number.NEGATIVE_INFINITY;
+    const announced = this.options.announcedOrders?.(
+      record.id,
+      record.startedAt,
+    );
+    return announced !== undefined && announced.accepted === ordersAccepted
+      ? announced.since
+      : undefined;
+  }
+
   private endTerm(): void {
     this.engines.clear();
     this.unmet.clear();
@@ -279,10 +313,21 @@
       known.applyRow(record);
       this.recordSettledOrder(known, pending, now);
     }
+    // An earlier report might lack an order that a former manager has just sent.
+    if (now < this.options.lease.engineReportsFrom) return;
     for (const engine of this.engines.values())
       this.reporter.requestIfNeeded(engine, now);
   }
 
+  /** Whether the lease permits orders to at least one engine. */
+  private mayOrderAny(): boolean {
+    const {lease} = this.options;
+    if (lease.mayIssueOrders()) return true;
+    return [...this.engines.values()].some(({formerOrderAt}) =>
+      lease.mayOrder(formerOrderAt),
+    );
+  }
+
   /** Records the completion of an order. */
   private recordSettledOrder(
     engine: EngineState,
--- a/src/engines/replica_announcer.ts
+++ b/src/engines/replica_announcer.ts
@@ -34,6 +34,9 @@
       endpoint: engine.record.id,
       startedAt: engine.record.startedAt,
       targets: engine.availableTargets(),
+      ...(engine.ordersAccepted === undefined
+        ? {}
+        : {ordersAccepted: engine.ordersAccepted}),
     })),
     expected: [...expected].map(([target, readyInMilliseconds]) => ({
       target,
@@ -99,6 +102,7 @@
     keyOf: ({endpoint}) => endpoint,
     isSame: (reported, current) =>
       reported.startedAt === current.startedAt &&
+      reported.ordersAccepted === current.ordersAccepted &&
       reported.targets.join(' ') === current.targets.join(' '),
   });
   private readonly expectations = new StateTracker<Expectation>({
--- a/src/engines/replica_map.ts
+++ b/src/engines/replica_map.ts
@@ -25,6 +25,14 @@
 interface AnnouncedEngine {
   readonly startedAt: number;
   readonly targets: ReadonlySet<string>;
+  readonly orders: AnnouncedOrders | undefined;
+}
+
+/** Orders of an engine process, as its pool's managers have announced them. */
+export interface AnnouncedOrders {
+  readonly accepted: number;
+  /** Monotonic time at which this host learned of that number. */
+  readonly since: number;
 }
 
 /** What was announced of one pool. */
@@ -142,6 +150,12 @@
     });
   }
 
+  /** Orders of an engine process; undefined if none were announced. */
+  announcedOrders(id: string, startedAt: number): AnnouncedOrders | undefined {
+    const known = this.announced.get(id);
+    return known?.startedAt === startedAt ? known.orders : undefined;
+  }
+
   /** Usable engines that have a target loaded. */
   holders(service: string, target: string): readonly Endpoint[] {
     const now = this.now();
@@ -199,14 +213,30 @@
     return this.options.registry.usable(service).flatMap(({record}) => {
       const known = this.announced.get(record.id);
       if (known === undefined) return [];
-      const {startedAt, targets} = known;
-      return [{endpoint: record.id, startedAt, targets: [...targets]}];
+      const {startedAt, targets, orders} = known;
+      return [
+        {
+          endpoint: record.id,
+          startedAt,
+          targets: [...targets],
+          ...(orders === undefined ? {} : {ordersAccepted: orders.accepted}),
+        },
+      ];
     });
   }
 
   private applyEngines(engines: ReplicaAnnouncement['engines']): void {
-    for (const {endpoint, startedAt, targets} of engines) {
-      this.announced.set(endpoint, {startedAt, targets: new Set(targets)});
+    for (const {endpoint, startedAt, targets, ordersAccepted} of engines) {
+      const known = this.announcedOrders(endpoint, startedAt);
+      const orders =
+        ordersAccepted === undefined || ordersAccepted === known?.accepted
+          ? known
+          : {accepted: ordersAccepted, since: this.now()};
+      this.announced.set(endpoint, {
+        startedAt,
+        targets: new Set(targets),
+        orders,
+      });
       for (const target of targets)
         this.refusedUntil.delete(`${endpoint} ${target}`);
     }
--- a/src/engines/replica_state.ts
+++ b/src/engines/replica_state.ts
@@ -6,6 +6,8 @@
   /** Start time of the engine process. */
   readonly startedAt: number;
   readonly targets: string[];
+  /** Orders that the process has accepted; undefined if the manager does not know. */
+  readonly ordersAccepted?: number | undefined;
 }
 
 /** Complete state of the replicas of a pool. */
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -255,6 +255,10 @@
         hostId: self.hostId,
         incarnation: self.incarnation,
         orderTurnMilliseconds: settings.orderTurnMilliseconds,
+        ordersBySettledEngine: settings.handover === 'engine',
+        announcedOrders: (endpoint, startedAt) =>
+          container.get(ReplicaMap).announcedOrders(endpoint, startedAt),
+        loadsReplicasTogether: settings.replicaLoads === 'parallel',
         rank: () => container.get(FleetTopology).rank,
         broadcastResignation: (service, epoch, sinceOrderMilliseconds) =>
           container.get(FleetStateExchange).announce({
--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -76,6 +76,18 @@
     .positive()
     .default(1000)
     .describe('Bandwidth of the network link of the host, in Mbit/s.'),
+  handover: z
+    .enum(['pool', 'engine'])
+    .default('pool')
+    .describe(
+      'Whether the time between the orders of two managers is kept for the whole pool or for each engine.',
+    ),
+  replicaLoads: z
+    .enum(['successive', 'parallel'])
+    .default('successive')
+    .describe(
+      'Whether the replicas that a model lacks are loaded one after the other or at the same time.',
+    ),
   retries: z
     .object({
       ratio: z.number().nonnegative(),
--- a/src/entry/pool_supervisor.ts
+++ b/src/entry/pool_supervisor.ts
@@ -1,4 +1,5 @@
 import {
+  type AnnouncedOrders,
   type EngineControl,
   type LeaseRenewal,
   PoolLease,
@@ -27,6 +28,17 @@
   hostId: string;
   incarnation: string;
   orderTurnMilliseconds: number;
+  /**
+   * Whether a new manager may order engines without a recent order before the turn of
+   * the whole pool begins.
+   */
+  ordersBySettledEngine: boolean;
+  announcedOrders: (
+    endpoint: string,
+    startedAt: number,
+  ) => AnnouncedOrders | undefined;
+  /** Whether all replicas that a model lacks are loaded at the same time. */
+  loadsReplicasTogether: boolean;
   /** Returns the rank of this host among the active ones; undefined on a standby host. */
   rank: () => number | undefined;
   announce: (announcement: ReplicaAnnouncement) => void;
--- a/src/peers/peer_message.ts
+++ b/src/peers/peer_message.ts
@@ -242,6 +242,8 @@
         /** Start time of the engine process. */
         startedAt: z.number(),
         targets: z.array(z.string()),
+        /** Orders that the process has accepted, as far as the sender knows. */
+        ordersAccepted: z.number().int().nonnegative().optional(),
       }),
     ),
     /** Models that only the weight store has, and when a further one can be ready. */
--- a/src/testing/platform_deployment.ts
+++ b/src/testing/platform_deployment.ts
@@ -151,6 +151,8 @@
     graceSeconds: 3,
     addressLifetimeMilliseconds: 100,
     orderTurnMilliseconds: 200,
+    handover: 'pool',
+    replicaLoads: 'successive',
     drainMilliseconds: 2000,
     configurationMilliseconds: 2000,
     processor: {share: 1, speed: 1},
