Merge orders by engine after a change of manager, and replicas loaded together

Cause: no model was loaded for 6 s after the loss of a manager, and a model that had just become busy got one replica for each load time.

--- a/src/engines/pool_manager.ts
+++ b/src/engines/pool_manager.ts
@@ -70,12 +70,14 @@
     this.reporter = new EngineReporter({
       ...options,
       signal: this.stopping.signal,
-      onReport: (engine, pending) =>
+      onReport: (engine, pending) => {
+        engine.formerOrderAt ??= this.formerOrderTime(engine);
         this.recordSettledOrder(
           engine,
           pending,
           options.clock.monotonicMilliseconds(),
-        ),
+        );
+      },
       onDropped: () => this.budget?.abandon(),
       wake: () => this.wake(),
     });
@@ -140,7 +142,7 @@
     this.applyRows(service.name, now);
     if (isNewTerm) this.rates.expect(expectedRates(this.engines.values()));
     this.announceChanges();
-    if (!lease.mayIssueOrders() || this.budget === undefined) return;
+    if (!this.mayOrderAny() || this.budget === undefined) return;
     const {load} = this.options;
     const inFlight = load.inFlight();
     const waiting = load.waiting(service.name);
@@ -163,6 +165,7 @@
       inFlight,
       now,
       incarnation => this.options.limits.rateOf(incarnation),
+      engine => lease.orderDelay(engine.formerOrderAt),
     );
     this.detachedLoads.takeEnded(now, () => this.budget?.abandon());
     const remoteLoadsAllowed = this.budget.allowed(now);
@@ -172,6 +175,7 @@
       demand,
       remoteLoadsAllowed,
       remoteLoadsRunning: this.budget.active,
+      loadsReplicasTogether: this.options.loadsReplicasTogether ?? false,
       preloadsAllowed: Math.max(
         0,
         preloadConcurrency(demand) - this.budget.active,
@@ -194,13 +198,33 @@
     this.forecastAt = now;
     for (const planned of loads) void this.executeLoad(planned, pool);
     this.adapters.startLoads(
-      [...this.engines.values()],
+      [...this.engines.values()].filter(engine =>
+        lease.mayOrder(engine.formerOrderAt),
+      ),
       awaited,
       inFlight,
       pool,
     );
   }
 
+  /**
+   * Time before which former managers sent their last order to an engine, if its report
+   * counts as many orders as they have announced.
+   */
+  private formerOrderTime({
+    record,
+    ordersAccepted,
+  }: EngineState): number | undefined {
+    if (ordersAccepted === 0) return Number.NEGATIVE_INFINITY;
+    const announced = this.options.announcedOrders?.(
+      record.id,
+      record.startedAt,
+    );
+    return announced !== undefined && announced.accepted === ordersAccepted
+      ? announced.since
+      : undefined;
+  }
+
   private endTerm(): void {
     this.engines.clear();
     this.detachedLoads.clear();
@@ -252,10 +276,21 @@
       known.applyRow(record);
       this.recordSettledOrder(known, pending, now);
     }
+    // An earlier report might lack an order that a former manager has just sent.
+    if (now < this.options.lease.engineReportsFrom) return;
     for (const engine of this.engines.values())
       this.reporter.requestIfNeeded(engine, now);
   }
 
+  /** Whether the lease permits orders to at least one engine. */
+  private mayOrderAny(): boolean {
+    const {lease} = this.options;
+    if (lease.mayIssueOrders()) return true;
+    return [...this.engines.values()].some(({formerOrderAt}) =>
+      lease.mayOrder(formerOrderAt),
+    );
+  }
+
   /** Records the completion of an order. */
   private recordSettledOrder(
     engine: EngineState,
