Switch features on by what a deployment has agreed with its platform

Cause: new features must not change deployments that do not call for them. Change: the settings list the agreements of the deployment; src/platform translates them into the settings handover and replicaLoads, which a settings file can also name.

--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -76,17 +76,23 @@
     .positive()
     .default(1000)
     .describe('Bandwidth of the network link of the host, in Mbit/s.'),
+  agreements: z
+    .array(z.string())
+    .default([])
+    .describe(
+      'What the platform has agreed for the deployment; switches on the features that it calls for unless a setting names them.',
+    ),
   handover: z
     .enum(['pool', 'engine'])
-    .default('pool')
+    .optional()
     .describe(
-      'Whether the time between the orders of two managers is kept for the whole pool or for each engine.',
+      'Whether the time between the orders of two managers is kept for the whole pool or for each engine; `pool` unless the deployment calls for `engine`.',
     ),
   replicaLoads: z
     .enum(['successive', 'parallel'])
-    .default('successive')
+    .optional()
     .describe(
-      'Whether the replicas that a model lacks are loaded one after the other or at the same time.',
+      'Whether the replicas that a model lacks are loaded one after the other or at the same time; `successive` unless the deployment calls for `parallel`.',
     ),
   retries: z
     .object({
@@ -106,3 +112,6 @@
 
 /** Settings of an entry host on the users' platform. */
 export type EntrySettings = z.infer<typeof entrySettingsSchema>;
+
+/** Settings that a deployment can call for without naming them. */
+export type EntryFeatures = Pick<EntrySettings, 'handover' | 'replicaLoads'>;
--- a/src/entry/mod.ts
+++ b/src/entry/mod.ts
@@ -11,5 +11,9 @@
  */
 export {EntryHost} from './entry_host.ts';
 export type {EntryContext} from './entry_container.ts';
-export {type EntrySettings, entrySettingsSchema} from './entry_settings.ts';
+export {
+  type EntryFeatures,
+  type EntrySettings,
+  entrySettingsSchema,
+} from './entry_settings.ts';
 export type {AddressQuery, PlatformAdapter} from './platform_adapter.ts';
--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -5,7 +5,7 @@
   LineWriter,
   RateLimitedLogger,
 } from '../observability/mod.ts';
-import {createPlatform} from '../platform/mod.ts';
+import {createPlatform, deploymentFeatures} from '../platform/mod.ts';
 import {describeSettingsError, readSettings} from '../settings/mod.ts';
 import type {ProcessSignals} from '../signals/mod.ts';
 import {sleep, SystemClock} from '../time/mod.ts';
@@ -70,7 +70,11 @@
   const memoryMegabytes = Number(process.env[MEMORY_VARIABLE]);
   await serve(
     flags.settings,
-    memoryMegabytes > 0 ? {...settings.value, memoryMegabytes} : settings.value,
+    {
+      ...deploymentFeatures(settings.value.agreements),
+      ...settings.value,
+      ...(memoryMegabytes > 0 ? {memoryMegabytes} : {}),
+    },
     signals,
   );
 }
--- a/src/entry/settings_template_test.ts
+++ b/src/entry/settings_template_test.ts
@@ -14,6 +14,7 @@
   },
   internal_port_range: [7600, 7615],
   initial_bootstrap: true,
+  contracts: ['base', 'engine', 'pool'],
   platform: {address: '10.200.1.7:8225'},
   limits: {cpu_share: 0.675, cpu_cores: 1, link_mbps: 140},
   bounds: {
--- /dev/null
+++ b/src/platform/deployment_features_test.ts
@@ -0,0 +1,15 @@
+import {expect, test} from 'vitest';
+import {deploymentFeatures} from './mod.ts';
+
+// Guards against features on deployments that do not call for them.
+test.each([
+  {names: [], expected: {}},
+  {names: ['base', 'engine', 'tenants'], expected: {}},
+  {names: ['constructor', 'toString'], expected: {}},
+  {
+    names: ['base', 'pool'],
+    expected: {handover: 'engine', replicaLoads: 'parallel'},
+  },
+])('a deployment with $names calls for $expected', ({names, expected}) => {
+  expect(deploymentFeatures(names)).toEqual(expected);
+});
--- a/src/platform/mod.ts
+++ b/src/platform/mod.ts
@@ -9,4 +9,5 @@
  *
  * @module
  */
+export {deploymentFeatures} from './deployment_features.ts';
 export {createPlatform} from './create_platform.ts';
