Choose endpoints evenly from delayed counts

Hosts that choose the least loaded endpoint from the same counts all choose the same one until the next report.

balanceEndpoints fills the cheapest endpoints with the requests that other hosts have probably sent since (UnobservedRequests) and chooses one of them at random in proportion to its part. Affinity and the local data centre are kept where the load stays even. chooseEndpoint behaves as before and shares its cost.

--- a/src/fleet/choose_endpoint.ts
+++ b/src/fleet/choose_endpoint.ts
@@ -19,7 +19,7 @@
  * Cost by which the endpoint preferred by affinity may exceed the cheapest one,
  * as a share of the slots.
  */
-const AFFINITY_TOLERANCE = 0.15;
+export const AFFINITY_TOLERANCE = 0.15;
 
 /** Weight of the failure rate relative to occupancy. */
 const FAILURE_WEIGHT = 2;
@@ -40,6 +40,32 @@
   endpoints: readonly Endpoint[],
   options: ChooseEndpointOptions,
 ): Endpoint | undefined {
+  const ranked = rankEndpoints(endpoints, options);
+  const best = ranked[0];
+  if (best === undefined || options.affinityKey === undefined) {
+    return best?.endpoint;
+  }
+  const preferred = preferredByAffinity(ranked, options.affinityKey);
+  return preferred !== undefined &&
+    preferred.cost <= best.cost + AFFINITY_TOLERANCE
+    ? preferred.endpoint
+    : best.endpoint;
+}
+
+/** An endpoint and its cost, in occupancy (a share of its slots). */
+export interface RankedEndpoint {
+  readonly endpoint: Endpoint;
+  readonly cost: number;
+}
+
+/**
+ * Returns the endpoints that a request may be sent to, cheapest first. Paused ones
+ * are included only if all others are excluded.
+ */
+export function rankEndpoints(
+  endpoints: readonly Endpoint[],
+  options: ChooseEndpointOptions,
+): readonly RankedEndpoint[] {
   const allowed = endpoints.filter(
     endpoint => !options.excluded.has(endpoint.incarnation),
   );
@@ -47,24 +73,21 @@
     endpoint => !endpoint.condition.isPaused(options.now),
   );
   const candidates = available.length > 0 ? available : allowed;
-  const ranked = candidates
+  return candidates
     .map(endpoint => ({endpoint, cost: cost(endpoint, options)}))
     .sort((left, right) => left.cost - right.cost);
-  const best = ranked[0];
-  if (best === undefined || options.affinityKey === undefined) {
-    return best?.endpoint;
-  }
+}
+
+/** Returns the endpoint that requests with an affinity key prefer on all hosts. */
+export function preferredByAffinity(
+  ranked: readonly RankedEndpoint[],
+  affinityKey: string,
+): RankedEndpoint | undefined {
   const [preferredId] = rendezvousOrder(
-    options.affinityKey,
+    affinityKey,
     ranked.map(({endpoint}) => endpoint.record.id),
   );
-  const preferred = ranked.find(
-    ({endpoint}) => endpoint.record.id === preferredId,
-  );
-  return preferred !== undefined &&
-    preferred.cost <= best.cost + AFFINITY_TOLERANCE
-    ? preferred.endpoint
-    : best.endpoint;
+  return ranked.find(({endpoint}) => endpoint.record.id === preferredId);
 }
 
 function cost(endpoint: Endpoint, options: ChooseEndpointOptions): number {
--- a/src/fleet/fleet_load.ts
+++ b/src/fleet/fleet_load.ts
@@ -32,6 +32,12 @@
  */
 const DIGEST_LIFETIME_MILLISECONDS = 4000;
 
+/**
+ * Mean age of the counts in a report or a digest; half the interval at which active
+ * hosts report their load, since each of them reports at a moment of its own.
+ */
+const MEAN_REPORT_AGE_MILLISECONDS = 50;
+
 /** Last reports of one host. */
 interface HostReports {
   readonly loadSequence: ReportSequence;
@@ -55,7 +61,19 @@
   private readonly reports = new Map<string, HostReports>();
   private digest: {counts: DigestCounts; receivedAt: number} | undefined;
 
-  constructor(private readonly options: FleetLoadOptions) {}
+  private peersCountedAt: number;
+
+  constructor(private readonly options: FleetLoadOptions) {
+    this.peersCountedAt = this.now();
+  }
+
+  /**
+   * Monotonic time at which the counts that {@link peerInFlight} has last returned were
+   * taken on average.
+   */
+  get countedAt(): number {
+    return this.peersCountedAt;
+  }
 
   /** Applies a report of the load of a peer. */
   receiveLoad(
@@ -163,10 +181,12 @@
         add(endpoint, requests);
     }
     const {digest} = this;
+    this.peersCountedAt = this.now() - MEAN_REPORT_AGE_MILLISECONDS;
     if (
       digest !== undefined &&
       this.now() - digest.receivedAt <= DIGEST_LIFETIME_MILLISECONDS
     ) {
+      this.peersCountedAt = digest.receivedAt - MEAN_REPORT_AGE_MILLISECONDS;
       for (const {endpoint, requests} of digest.counts) add(endpoint, requests);
       for (const {endpoint, requests} of this.options.localLoad().inFlight) {
         const others = (sums.get(endpoint) ?? 0) - requests;
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -61,6 +61,16 @@
   type StateTrackerOptions,
 } from './state_tracker.ts';
 export {chooseEndpoint, type ChooseEndpointOptions} from './choose_endpoint.ts';
+export {
+  balanceEndpoints,
+  type BalancedChoice,
+  type BalanceEndpointsOptions,
+  type BalancingOutcome,
+} from './balance_endpoints.ts';
+export {
+  UnobservedRequests,
+  type UnobservedRequestsOptions,
+} from './unobserved_requests.ts';
 export {chooseGranter, type GranterInput} from './choose_granter.ts';
 export {LruSet} from './lru_set.ts';
 export {
