Add the setting balancing for even load

Hosts need a way to use balanceEndpoints; deployments whose settings do not request it are served as before.

EndpointRouter uses an EndpointBalancer if balancing is 'even'. The age of the counts comes from FleetLoad.countedAt.

--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -25,8 +25,10 @@
 } from '../relay/mod.ts';
 import type {EndpointLimits, PermitBroker} from '../permits/mod.ts';
 import type {Clock} from '../time/mod.ts';
+import {affinityKeyOf} from './_affinity_key_of.ts';
 import {LimitedEndpoints} from './_limited_endpoints.ts';
 import {modelNotFound, refusal} from './_refusal.ts';
+import type {EndpointBalancer} from './endpoint_balancer.ts';
 import type {ReplicaMap} from './replica_map.ts';
 
 /** Options of {@link EndpointRouter}. */
@@ -41,6 +43,8 @@
   announceLeaving: (incarnation: string) => void;
   clock: Clock;
   dataCentre: string;
+  /** Distributes requests evenly; without it, the least loaded endpoint is used. */
+  balancer?: EndpointBalancer;
   /** Returns a service of the current configuration. */
   service: (name: string) => ServiceConfiguration | undefined;
   /** Called when requests begin to wait for a target. */
@@ -131,6 +135,7 @@
         );
         if (roomAt === undefined) {
           this.refused.delete(`${service.name} ${target}`);
+          this.options.balancer?.recordSent(request, preference);
           return success(chosen);
         }
         returnAt.set(chosen.incarnation, roomAt);
@@ -246,19 +251,18 @@
     excluded: ReadonlySet<string>,
     preference: EndpointPreference,
   ): Endpoint | undefined {
-    const session =
-      preference === 'affinity'
-        ? request.metadata.promptParts.at(-2)?.id
-        : undefined;
-    return chooseEndpoint(candidates, {
+    const affinityKey = affinityKeyOf(request, preference);
+    const choice = {
       now: this.options.clock.monotonicMilliseconds(),
       excluded,
       dataCentre: this.options.dataCentre,
-      isLimited: endpoint => this.limited.has(endpoint),
-      ...(session === undefined
-        ? {}
-        : {affinityKey: `${targetOf(request.metadata)} ${session}`}),
-    });
+      isLimited: (endpoint: Endpoint) => this.limited.has(endpoint),
+      ...(affinityKey === undefined ? {} : {affinityKey}),
+    };
+    const {balancer} = this.options;
+    return balancer === undefined
+      ? chooseEndpoint(candidates, choice)
+      : balancer.choose(candidates, request, choice);
   }
 
   /**
--- a/src/engines/mod.ts
+++ b/src/engines/mod.ts
@@ -16,6 +16,10 @@
  * @module
  */
 export {ArrivalRates} from './arrival_rates.ts';
+export {
+  EndpointBalancer,
+  type EndpointBalancerOptions,
+} from './endpoint_balancer.ts';
 export {EndpointRouter, type EndpointRouterOptions} from './endpoint_router.ts';
 export type {
   EngineControl,
--- a/src/entry/_bind_requests.ts
+++ b/src/entry/_bind_requests.ts
@@ -1,8 +1,14 @@
 import type {Container} from 'inversify';
 import {ByteBudget} from '../bytes/mod.ts';
-import {EndpointRouter, ReplicaMap} from '../engines/mod.ts';
+import {EndpointBalancer, EndpointRouter, ReplicaMap} from '../engines/mod.ts';
 import {isConnectionRefused} from '../exchange/mod.ts';
-import {EndpointRegistry, FleetShares, FleetTopology} from '../fleet/mod.ts';
+import {
+  EndpointRegistry,
+  FleetLoad,
+  FleetShares,
+  FleetTopology,
+  UnobservedRequests,
+} from '../fleet/mod.ts';
 import {FleetRateLimiter} from '../limits/mod.ts';
 import {Metrics} from '../observability/mod.ts';
 import type {PeerIdentity} from '../peers/mod.ts';
@@ -67,6 +73,9 @@
             .announce({kind: 'endpoint_leaving', incarnation}),
         clock,
         dataCentre: settings.dataCentre,
+        ...(settings.balancing === 'even'
+          ? {balancer: createBalancer(container, context)}
+          : {}),
         service: name =>
           container
             .get(ConfigurationSource)
@@ -170,3 +179,27 @@
       }),
   );
 }
+
+function createBalancer(
+  container: Container,
+  {clock, logger, settings}: EntryContext,
+): EndpointBalancer {
+  const activeHosts = () => container.get(FleetTopology).activeHosts;
+  return new EndpointBalancer({
+    unobserved: new UnobservedRequests({
+      clock,
+      activeHosts: () => activeHosts().length,
+      countedAt: () => container.get(FleetLoad).countedAt,
+    }),
+    localShare: () => {
+      const hosts = activeHosts();
+      const local = hosts.filter(
+        ({dataCentre}) => dataCentre === settings.dataCentre,
+      );
+      return hosts.length === 0 ? 1 : local.length / hosts.length;
+    },
+    logger,
+    metrics: container.get(Metrics),
+    random: Math.random,
+  });
+}
--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -58,6 +58,12 @@
   configurationMilliseconds: milliseconds
     .default(2000)
     .describe('Time within which a new configuration must be applied.'),
+  balancing: z
+    .enum(['least_loaded', 'even'])
+    .default('least_loaded')
+    .describe(
+      'How endpoints are chosen: `least_loaded` takes the one with the lowest known load, `even` also takes into account what other hosts have probably sent since. For more than a few hosts with much traffic.',
+    ),
   processor: z
     .object({share: z.number().positive(), speed: z.number().positive()})
     .default({share: 1, speed: 1})
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -295,6 +295,11 @@
     level: 'info',
     message: 'Endpoint takes any number of requests again',
   },
+  endpointLoadUneven: {
+    number: 630,
+    level: 'info',
+    message: 'An endpoint has at least twice the mean load of its alternatives',
+  },
   circuitOpened: {
     number: 613,
     level: 'warn',
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -1,5 +1,10 @@
 import {build as buildHistogram, type Histogram} from 'hdr-histogram-js';
-import {Counter, Gauge, Registry} from 'prom-client';
+import {
+  Counter,
+  Gauge,
+  Histogram as BucketHistogram,
+  Registry,
+} from 'prom-client';
 
 /** Label values of one time series, by label name. */
 export type MetricLabels = Readonly<Record<string, string>>;
@@ -20,6 +25,7 @@
   private readonly registry = new Registry();
   private readonly counters = new Map<string, Counter>();
   private readonly gauges = new Map<string, Gauge>();
+  private readonly bucketHistograms = new Map<string, BucketHistogram>();
   private readonly histograms = new Map<
     string,
     {help: string; series: Map<string, HistogramSeries>}
@@ -55,6 +61,25 @@
     gauge.set(labels, value);
   }
 
+  /**
+   * Records a value in a histogram, which is created on first use.
+   *
+   * @param buckets Upper bounds of the buckets in ascending order.
+   */
+  recordValue(name: string, value: number, buckets: readonly number[]): void {
+    let histogram = this.bucketHistograms.get(name);
+    if (histogram === undefined) {
+      histogram = new BucketHistogram({
+        name,
+        help: name,
+        buckets: [...buckets],
+        registers: [this.registry],
+      });
+      this.bucketHistograms.set(name, histogram);
+    }
+    histogram.observe(value);
+  }
+
   /** Records a duration in milliseconds. */
   recordDuration(
     name: string,
--- a/src/testing/platform_deployment.ts
+++ b/src/testing/platform_deployment.ts
@@ -153,6 +153,7 @@
     orderTurnMilliseconds: 200,
     drainMilliseconds: 2000,
     configurationMilliseconds: 2000,
+    balancing: 'least_loaded',
     processor: {share: 1, speed: 1},
     memoryMegabytes: 350,
     linkMegabits: 1000,
