Merge even load distribution from delayed counts

Cause: all hosts chose the endpoint with the lowest cost from counts that are a report old, so one engine after the other was overrun. Change: the setting balancing, which deployments with shared engine pools call for.

--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -58,6 +58,12 @@
   configurationMilliseconds: milliseconds
     .default(2000)
     .describe('Time within which a new configuration must be applied.'),
+  balancing: z
+    .enum(['least_loaded', 'even'])
+    .optional()
+    .describe(
+      'How endpoints are chosen: `least_loaded` takes the one with the lowest known load, `even` also takes into account what other hosts have probably sent since. `least_loaded` unless the deployment calls for `even`.',
+    ),
   processor: z
     .object({share: z.number().positive(), speed: z.number().positive()})
     .default({share: 1, speed: 1})
@@ -114,4 +120,7 @@
 export type EntrySettings = z.infer<typeof entrySettingsSchema>;
 
 /** Settings that a deployment can call for without naming them. */
-export type EntryFeatures = Pick<EntrySettings, 'handover' | 'replicaLoads'>;
+export type EntryFeatures = Pick<
+  EntrySettings,
+  'balancing' | 'handover' | 'replicaLoads'
+>;
--- a/src/platform/deployment_features_test.ts
+++ b/src/platform/deployment_features_test.ts
@@ -8,7 +8,11 @@
   {names: ['constructor', 'toString'], expected: {}},
   {
     names: ['base', 'pool'],
-    expected: {handover: 'engine', replicaLoads: 'parallel'},
+    expected: {
+      balancing: 'even',
+      handover: 'engine',
+      replicaLoads: 'parallel',
+    },
   },
 ])('a deployment with $names calls for $expected', ({names, expected}) => {
   expect(deploymentFeatures(names)).toEqual(expected);
