Hold requests back in a common order while engines are full

Cause: requests wait in a host only while no engine holds their model; when engines are full their own queues decide, and reject deferred work that has minutes of slack. Change: src/admission computes an admission level for each request, orders the waiting requests of a host and limits it to its share of free slots. The router uses it with the setting admission 'ordered'; the default 'immediate' is unchanged. Waiting code of the router moved to _waiting_requests.ts. Queued requests of a loaded model raise the number of replicas wanted.

--- a/src/engines/_demand_by_model.ts
+++ b/src/engines/_demand_by_model.ts
@@ -1,7 +1,7 @@
 import type {EnginePoolConfiguration} from '../deployment/mod.ts';
 import type {WaitingTarget} from '../fleet/mod.ts';
 import {splitTarget} from './_split_target.ts';
-import type {ModelDemand} from './model_demand.ts';
+import type {ModelDemand, QueuedDemand} from './model_demand.ts';
 
 /** Input of {@link demandByModel}. */
 export interface DemandInput {
@@ -45,6 +45,7 @@
     const known = demand.get(model);
     const isForAdapter = adapter !== undefined && input.isLoaded(model);
     const isAwaited = !entry.isServable && !isForAdapter;
+    const isQueued = entry.isServable && entry.isHeld;
     const isAdapterAwaited = !entry.isServable && isForAdapter;
     demand.set(model, {
       waiting: (known?.waiting ?? 0) + (isAwaited ? entry.requests : 0),
@@ -55,13 +56,28 @@
       returning:
         (known?.returning ?? 0) + (entry.isServable ? entry.requests : 0),
       priority: Math.min(known?.priority ?? 9, entry.priority),
+      // The age of queued requests must not justify evictions of models in use.
       waitedMilliseconds: Math.max(
         known?.waitedMilliseconds ?? 0,
-        entry.waitedMilliseconds,
+        isQueued ? 0 : entry.waitedMilliseconds,
       ),
+      ...queuedDemand(known?.queued, isQueued ? entry : undefined),
       unmetMilliseconds: input.unmetOf(model),
       ratePerSecond: known?.ratePerSecond ?? 0,
     });
   }
   return demand;
 }
+
+function queuedDemand(
+  known: QueuedDemand | undefined,
+  added: QueuedDemand | undefined,
+): {queued?: QueuedDemand} {
+  if (known === undefined && added === undefined) return {};
+  const requests = (known?.requests ?? 0) + (added?.requests ?? 0);
+  const waitedMilliseconds = Math.max(
+    known?.waitedMilliseconds ?? 0,
+    added?.waitedMilliseconds ?? 0,
+  );
+  return {queued: {requests, waitedMilliseconds}};
+}
--- a/src/engines/_placement_plan.ts
+++ b/src/engines/_placement_plan.ts
@@ -1,4 +1,6 @@
 import type {ModelConfiguration} from '../deployment/mod.ts';
+import {canTakeQueued, queuedRequests, withOneMore} from './_queued_demand.ts';
+import {maximumRemoteLoads} from './_maximum_remote_loads.ts';
 import {takesRequestsOf} from './_takes_requests_of.ts';
 import {effectiveWait, loadBenefit} from './load_benefit.ts';
 import {expectedLoadMilliseconds, nearestTier} from './load_tier.ts';
@@ -18,13 +20,6 @@
  */
 const STANDBY_EVICTION_COST_MILLISECONDS = 3000;
 
-/**
- * Share of the engines with a copy of an awaited model that may load from the
- * weight store meanwhile. Such a load occupies an engine for as long as several
- * loads from its disk.
- */
-const REMOTE_SHARE = 1 / 3;
-
 /**
  * Time a request waits before its model is loaded from the weight store even
  * though an engine that is busy or full has a copy on disk. About half the time
@@ -172,6 +167,9 @@
     reason: PlannedLoad['reason'],
   ) {
     if (engine.models.has(model.name)) return undefined;
+    const isFurther = reason === 'replica';
+    if (isFurther && !canTakeQueued(this.input, engine, model.name))
+      return undefined;
     const busyMilliseconds =
       engine.busyMilliseconds + (this.assignedMilliseconds.get(engine.id) ?? 0);
     const isBusy = busyMilliseconds > 0;
@@ -326,9 +324,12 @@
     if (known !== undefined) return known;
     const rate = this.input.demand.get(model)?.ratePerSecond ?? 0;
     const inFlight = this.inFlight.get(model) ?? 0;
-    const range = desiredReplicas(this.input.pool, rate, inFlight);
-    this.replicaRanges.set(model, range);
-    return range;
+    const queued = queuedRequests(this.input, model);
+    const range = desiredReplicas(this.input.pool, rate, inFlight, queued);
+    const wanted =
+      queued === 0 ? range : withOneMore(range, this.replicasOf(model));
+    this.replicaRanges.set(model, wanted);
+    return wanted;
   }
 
   /** Whether to wait until another engine that has a local copy becomes available. */
@@ -370,22 +371,6 @@
   counts.set(key, (counts.get(key) ?? 0) + amount);
 }
 
-/**
- * Number of engines that may load from the weight store while requests wait.
- * Engines without a copy of any awaited model serve nobody by loading from
- * their disks, so they are not counted against the share.
- */
-function maximumRemoteLoads({engines, demand}: PlacementInput): number {
-  const awaited = [...demand].flatMap(([model, {waiting}]) =>
-    waiting > 0 ? [model] : [],
-  );
-  const useful = engines.filter(engine =>
-    awaited.some(model => nearestTier(engine, model) !== 'remote'),
-  ).length;
-  const others = engines.length - useful;
-  return Math.max(1, others + Math.floor(useful * REMOTE_SHARE));
-}
-
 /**
  * Expected time until the running requests of a model have finished, given that
  * most of them started when it was loaded.
--- a/src/engines/_refusal.ts
+++ b/src/engines/_refusal.ts
@@ -20,6 +20,14 @@
   );
 }
 
+/** Refuses a request whose time has ended before an engine could take it. */
+export function notInTime(target: string): Result<Endpoint, RequestError> {
+  return refusal(
+    REQUEST_ERROR_CODES.noReplica,
+    `No engine has loaded "${target}" in time`,
+  );
+}
+
 /** Refuses a request that no endpoint has executed. */
 export function refusal(
   code: RequestErrorCode,
--- a/src/engines/desired_replicas.ts
+++ b/src/engines/desired_replicas.ts
@@ -34,16 +34,22 @@
   readonly required: number;
 }
 
-/** Replica range for the demand of a model. */
+/**
+ * Replica range for the demand of a model.
+ *
+ * @param queued Requests for which the engines that have the model have no room.
+ */
 export function desiredReplicas(
   pool: EnginePoolConfiguration,
   ratePerSecond: number,
   inFlight: number,
+  queued = 0,
 ): ReplicaRange {
-  if (ratePerSecond < BUSY_RATE_PER_SECOND) {
+  if (ratePerSecond < BUSY_RATE_PER_SECOND && queued === 0) {
     return {minimum: 1, maximum: 1, required: 1};
   }
-  const load = inFlight / Math.max(1, pool.slots * REPLICA_OCCUPANCY);
+  const load =
+    (inFlight + queued) / Math.max(1, pool.slots * REPLICA_OCCUPANCY);
   const minimumForRate = ratePerSecond < REPLICATED_RATE_PER_SECOND ? 1 : 2;
   const required = 1 + Math.floor(load + REPLICA_HYSTERESIS);
   return {
--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -25,8 +25,14 @@
 } from '../relay/mod.ts';
 import type {EndpointLimits, PermitBroker} from '../permits/mod.ts';
 import type {Clock} from '../time/mod.ts';
+import {
+  type AdmissionRefusal,
+  OrderedAdmission,
+  type OrderedAdmissionOptions,
+} from '../admission/mod.ts';
 import {LimitedEndpoints} from './_limited_endpoints.ts';
-import {modelNotFound, refusal} from './_refusal.ts';
+import {modelNotFound, notInTime, refusal} from './_refusal.ts';
+import {WaitingRequests} from './_waiting_requests.ts';
 import type {ReplicaMap} from './replica_map.ts';
 
 /** Options of {@link EndpointRouter}. */
@@ -45,8 +51,19 @@
   service: (name: string) => ServiceConfiguration | undefined;
   /** Called when requests begin to wait for a target. */
   onDemandChanged: () => void;
+  /**
+   * Holds requests back while the engines that have their model are full. @default
+   * all are sent at once
+   */
+  admission?: RouterAdmissionOptions;
 }
 
+/** Options of the order of waiting requests. */
+export type RouterAdmissionOptions = Pick<
+  OrderedAdmissionOptions,
+  'evenShare' | 'hostId' | 'logger' | 'metrics' | 'slotShare'
+>;
+
 /**
  * Share of the caller's time-out that a request may spend waiting for a load.
  */
@@ -55,48 +72,41 @@
 /** Default delay that refused callers are told to wait before a retry. */
 const RETRY_AFTER_MILLISECONDS = 500;
 
-/**
- * Time after the end of its Retry-After for which a refused request still counts as
- * demand, since its caller is expected to retry.
- */
-const REFUSED_DEMAND_LIFETIME_MILLISECONDS = 2500;
-
-/** Share of the time left to a caller after which it retries at the latest. */
-const RETURN_SHARE = 1 / 3;
-
-interface RefusedDemand {
-  readonly request: RoutedRequest;
-  /** Monotonic time at which it stops to count as demand. */
-  readonly until: number;
-}
-
-interface Waiter {
-  readonly request: RoutedRequest;
-  readonly since: number;
-  readonly wake: () => void;
-}
-
 /**
  * Chooses endpoints for requests. Requests for a model that no engine has
  * loaded wait for a load.
  */
 export class EndpointRouter implements EndpointSource {
   private readonly limited: LimitedEndpoints;
-  private readonly waiters = new Map<string, Set<Waiter>>();
-  private readonly refused = new Map<string, RefusedDemand>();
+  private readonly waitingRequests: WaitingRequests;
+  private readonly admission: OrderedAdmission | undefined;
   private readonly arrivals = new Map<string, ArrivalCount>();
 
   constructor(private readonly options: EndpointRouterOptions) {
     this.limited = new LimitedEndpoints(options);
-    options.registry.onChange(() => this.recheckWaiting());
-    options.replicas.onChange(() => this.recheckWaiting());
+    this.waitingRequests = new WaitingRequests({
+      clock: options.clock,
+      holders: (service, target) => options.replicas.holders(service, target),
+      isOpen: endpoint => this.limited.isOpen(endpoint),
+      waitDeadline: request => this.waitDeadline(request),
+      onDemandChanged: options.onDemandChanged,
+    });
+    this.admission =
+      options.admission === undefined
+        ? undefined
+        : this.createAdmission(options.admission);
+    const onChange = () => {
+      this.waitingRequests.wakeAll();
+      this.admission?.enginesChanged();
+    };
+    options.registry.onChange(onChange);
+    options.replicas.onChange(onChange);
   }
 
   /** Makes waiting requests check whether they can be sent or still be served. */
   recheckWaiting(): void {
-    for (const waiters of this.waiters.values()) {
-      for (const waiter of waiters) waiter.wake();
-    }
+    this.waitingRequests.wakeAll();
+    this.admission?.recheck();
   }
 
   async acquire(
@@ -118,11 +128,32 @@
     // Endpoints that have no room for this request, and when there will be some.
     const returnAt = new Map<string, number>();
     for (;;) {
-      const candidates = this.candidates(service.name, target, isModelRequest);
-      const open = candidates.filter(
-        ({incarnation}) => !returnAt.has(incarnation),
-      );
-      const chosen = this.choose(open, request, excluded, preference);
+      const isOpen = ({incarnation}: Endpoint) => !returnAt.has(incarnation);
+      const outcome =
+        this.admission === undefined || !isModelRequest
+          ? undefined
+          : await this.admission.waitForRoom({
+              request,
+              signal,
+              isAllowed: endpoint =>
+                isOpen(endpoint) && !excluded.has(endpoint.incarnation),
+              choose: endpoints =>
+                this.choose(endpoints, request, excluded, preference),
+            });
+      if (outcome?.kind === 'refused')
+        return this.refuseWaiting(request, outcome);
+      if (outcome?.kind === 'aborted') return notInTime(target);
+      const chosen =
+        outcome?.kind === 'admitted'
+          ? outcome.endpoint
+          : this.choose(
+              this.candidates(service.name, target, isModelRequest).filter(
+                isOpen,
+              ),
+              request,
+              excluded,
+              preference,
+            );
       if (chosen !== undefined) {
         const waitsUntil = this.waitDeadline(request);
         const roomAt = await this.limited.roomAt(
@@ -130,9 +161,10 @@
           signal,
         );
         if (roomAt === undefined) {
-          this.refused.delete(`${service.name} ${target}`);
+          this.waitingRequests.recordServable(request);
           return success(chosen);
         }
+        this.admission?.release(chosen);
         returnAt.set(chosen.incarnation, roomAt);
         continue;
       }
@@ -151,14 +183,9 @@
         this.refuseIfRemoved(request) ??
         this.refuseIfTooLate(request, target, roomAt);
       if (refused !== undefined) return refused;
-      await this.wait(request, target, signal);
+      await this.waitingRequests.wait(request, signal);
       returnAt.clear();
-      if (signal.aborted) {
-        return refusal(
-          REQUEST_ERROR_CODES.noReplica,
-          `No engine has loaded "${target}" in time`,
-        );
-      }
+      if (signal.aborted) return notInTime(target);
     }
   }
 
@@ -174,48 +201,17 @@
    * Targets that requests of this host wait for, or were refused for recently.
    */
   waiting(): readonly WaitingCount[] {
-    const now = this.options.clock.monotonicMilliseconds();
-    const refused = [...this.refused].flatMap(([key, {request, until}]) => {
-      if (now > until) this.refused.delete(key);
-      if (!this.refused.has(key) || this.waiters.has(key)) return [];
-      const target = targetOf(request.metadata);
-      const {service, priority} = request;
-      const holders = this.options.replicas.holders(service.name, target);
-      const isServable = holders.some(holder => this.limited.isOpen(holder));
-      // Nobody waits: age must not justify evictions or loads from the weight store.
-      const waitedMilliseconds = 0;
-      return [
-        {
-          service: service.name,
-          target,
-          requests: 1,
-          timely: 0,
-          priority,
-          isHeld: false,
-          isServable,
-          waitedMilliseconds,
-        },
-      ];
-    });
-    const waiting = [...this.waiters.values()].flatMap(waiters => {
-      const list = [...waiters];
-      const [first] = list;
-      if (first === undefined) return [];
-      const {service, metadata} = first.request;
-      return [
-        {
-          service: service.name,
-          target: targetOf(metadata),
-          requests: list.length,
-          timely: list.filter(({request}) => isTimely(request, now)).length,
-          priority: Math.min(...list.map(({request}) => request.priority)),
-          isHeld: true,
-          isServable: false,
-          waitedMilliseconds: now - Math.min(...list.map(({since}) => since)),
-        },
-      ];
-    });
-    return [...waiting, ...refused];
+    return [
+      ...this.waitingRequests.counts(),
+      ...(this.admission?.waiting() ?? []),
+    ];
+  }
+
+  /** Called when the counts of other hosts' requests have been updated. */
+  countsUpdated(): void {
+    if (this.admission === undefined) return;
+    this.waitingRequests.wakeServable();
+    this.admission.countsUpdated();
   }
 
   /** Requests for each model since the start of this host. */
@@ -295,7 +291,7 @@
     target: string,
     roomAt: number,
   ): Result<Endpoint, RequestError> | undefined {
-    const {clock, replicas, onDemandChanged} = this.options;
+    const {clock, replicas} = this.options;
     const now = clock.monotonicMilliseconds();
     const deadline = this.waitDeadline(request);
     const service = request.service.name;
@@ -313,14 +309,7 @@
     const retryAfter = hasReplica
       ? Math.max(1, readyAt - now)
       : Math.max(RETRY_AFTER_MILLISECONDS, readyAt - now);
-    this.refused.set(`${service} ${target}`, {
-      request,
-      until:
-        now +
-        Math.min(retryAfter, (request.deadlineAt - now) * RETURN_SHARE) +
-        REFUSED_DEMAND_LIFETIME_MILLISECONDS,
-    });
-    onDemandChanged();
+    this.waitingRequests.recordRefused(request, retryAfter);
     return refusal(
       REQUEST_ERROR_CODES.noReplica,
       hasReplica
@@ -330,6 +319,44 @@
     );
   }
 
+  /** Refuses a request for which the engines have no room in its time. */
+  private refuseWaiting(
+    request: RoutedRequest,
+    {reason, retryAfterMilliseconds}: AdmissionRefusal,
+  ): Result<Endpoint, RequestError> {
+    if (reason === 'draining')
+      return failure(drainingError(REQUEST_STEPS.place));
+    this.waitingRequests.recordRefused(request, retryAfterMilliseconds);
+    return refusal(
+      REQUEST_ERROR_CODES.overloaded,
+      `The engines that have loaded "${targetOf(request.metadata)}" have no room within the caller's time-out`,
+      retryAfterMilliseconds,
+    );
+  }
+
+  private createAdmission(options: RouterAdmissionOptions): OrderedAdmission {
+    const {clock, dispatchWindow, registry} = this.options;
+    return new OrderedAdmission({
+      ...options,
+      clock,
+      registry,
+      holders: (service, target) => this.openHolders(service, target),
+      expectedMilliseconds: request => dispatchWindow.expected(request),
+      lastStartAt: request => this.waitDeadline(request),
+      hostLimit: request => dispatchWindow.hostLimit(request),
+    });
+  }
+
+  /** Engines that have a target and take requests; paused ones only without others. */
+  private openHolders(service: string, target: string): readonly Endpoint[] {
+    const now = this.options.clock.monotonicMilliseconds();
+    const open = this.candidates(service, target, true).filter(
+      endpoint => this.limited.closedUntil(endpoint) === undefined,
+    );
+    const available = open.filter(({condition}) => !condition.isPaused(now));
+    return available.length > 0 ? available : open;
+  }
+
   /** Monotonic time until which a request may wait for an endpoint. */
   private waitDeadline(request: RoutedRequest): number {
     const {dispatchWindow} = this.options;
@@ -340,43 +367,4 @@
       dispatchWindow.hostLimit(request),
     );
   }
-
-  private async wait(
-    request: RoutedRequest,
-    target: string,
-    signal: AbortSignal,
-  ): Promise<void> {
-    const {clock, onDemandChanged} = this.options;
-    const key = `${request.service.name} ${target}`;
-    const waiters = this.waiters.get(key) ?? new Set<Waiter>();
-    this.waiters.set(key, waiters);
-    const now = clock.monotonicMilliseconds();
-    await new Promise<void>(resolve => {
-      const finish = () => {
-        cancel();
-        signal.removeEventListener('abort', finish);
-        waiters.delete(waiter);
-        if (waiters.size === 0) this.waiters.delete(key);
-        resolve();
-      };
-      const waiter: Waiter = {request, since: request.arrivedAt, wake: finish};
-      const cancel = clock.startTimer(
-        Math.max(1, Math.min(this.waitDeadline(request) - now, 1000)),
-        finish,
-      );
-      signal.addEventListener('abort', finish, {once: true});
-      waiters.add(waiter);
-      if (waiters.size === 1) onDemandChanged();
-    });
-  }
-}
-
-/**
- * Whether a load from disk that starts now meets a request's latency objective.
- */
-function isTimely(request: RoutedRequest, now: number): boolean {
-  const {route, service, metadata, arrivedAt} = request;
-  const model = service.engines?.models.get(metadata.model ?? '');
-  const readyAt = now + (model?.diskLoadMilliseconds ?? 0);
-  return readyAt <= arrivedAt + route.objectiveMilliseconds;
 }
--- a/src/engines/model_demand.ts
+++ b/src/engines/model_demand.ts
@@ -1,3 +1,10 @@
+/** Requests for a loaded model that wait because its engines are full. */
+export interface QueuedDemand {
+  readonly requests: number;
+  /** Time for which the oldest of them has waited. */
+  readonly waitedMilliseconds: number;
+}
+
 /** Demand for one model and its adapters, summed over all hosts. */
 export interface ModelDemand {
   /** Requests waiting because no engine has the model loaded. */
@@ -11,6 +18,8 @@
   readonly waitingForAdapters: number;
   /** Refused callers who are expected back soon, now that the model is loaded. */
   readonly returning: number;
+  /** Requests that wait for room on the engines that have the model. @default none */
+  readonly queued?: QueuedDemand;
   /** Priority of the most urgent waiting request; 0 is the most urgent. */
   readonly priority: number;
   readonly waitedMilliseconds: number;
--- a/src/entry/_bind_requests.ts
+++ b/src/entry/_bind_requests.ts
@@ -42,6 +42,7 @@
 ): void {
   const {clock, logger, platform, settings} = context;
   const runDurations = new RunDurations(clock);
+  const shares = () => container.get(FleetShares);
   container
     .bind(DispatchWindow)
     .toConstantValue(new DispatchWindow(runDurations));
@@ -75,9 +76,19 @@
           container.get(FleetStateExchange).reportDemandSoon();
           container.get(PoolSupervisor).notify();
         },
+        ...(settings.admission === 'ordered'
+          ? {
+              admission: {
+                hostId: settings.hostId,
+                logger,
+                metrics: container.get(Metrics),
+                evenShare: () => shares().ofBudget(),
+                slotShare: () => shares().ofKnownSlots(),
+              },
+            }
+          : {}),
       }),
   );
-  const shares = () => container.get(FleetShares);
   container.bind(FleetRateLimiter).toDynamicValue(
     () =>
       new FleetRateLimiter({
--- a/src/entry/_fleet_state_exchange_options.ts
+++ b/src/entry/_fleet_state_exchange_options.ts
@@ -38,7 +38,8 @@
     | 'spending'
   >;
   replicas: ReplicaMap;
-  router: Pick<EndpointRouter, 'arrivalCounts' | 'waiting'>;
+  router: Pick<EndpointRouter, 'arrivalCounts' | 'waiting'> &
+    Partial<Pick<EndpointRouter, 'countsUpdated'>>;
   crashTracker: Pick<CrashTracker, 'receive'>;
   promptParts: Pick<PromptPartQuarantine, 'receive'>;
   limits: Pick<EndpointLimits, 'receive'>;
--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -83,6 +83,12 @@
       windowSeconds: z.number().positive(),
     })
     .describe('Retries allowed over all hosts.'),
+  admission: z
+    .enum(['immediate', 'ordered'])
+    .default('immediate')
+    .describe(
+      'When requests for loaded models are sent: `immediate` (at once) or `ordered` (while engines are full they wait in the hosts, the most urgent first).',
+    ),
   log: z
     .object({
       servedLinesPerSecond: z.number().int().positive().default(40),
--- a/src/entry/fleet_state_exchange.ts
+++ b/src/entry/fleet_state_exchange.ts
@@ -60,6 +60,7 @@
     const {peers} = options;
     this.loadReporter = new LoadReporter({
       ...options,
+      onCounted: () => options.router.countsUpdated?.(),
       send: report => peers.sendState(this.reportReceivers(), report),
     });
     this.demandReporter = new DemandReporter({
--- a/src/entry/load_reporter.ts
+++ b/src/entry/load_reporter.ts
@@ -17,6 +17,8 @@
   registry: Pick<EndpointRegistry, 'all'>;
   load: FleetLoad;
   rateLimiter: Pick<FleetRateLimiter, 'spending'>;
+  /** Called when the requests of other hosts at the endpoints have been counted. */
+  onCounted?: () => void;
   /** Sends a report to all hosts that need the load of this one. */
   send: (report: LoadReportMessage) => void;
 }
@@ -52,6 +54,7 @@
     for (const endpoint of registry.all()) {
       endpoint.peerInFlight = peerInFlight.get(endpoint.record.id) ?? 0;
     }
+    this.options.onCounted?.();
     const isStandby = !topology.isActive;
     const inFlight = this.inFlight.update(
       isStandby ? load.ownInFlight() : load.combinedInFlight(),
--- a/src/fleet/endpoint.ts
+++ b/src/fleet/endpoint.ts
@@ -5,12 +5,22 @@
 /** Maximum idle time after which a connection is still reused. */
 export const IDLE_CONNECTION_MILLISECONDS = 4000;
 
+/** Follows the requests of this host to endpoints. */
+export interface EndpointObserver {
+  /** Called when a request begins to be sent. */
+  readonly begun: (endpoint: Endpoint) => void;
+  /** Called when a request has ended. */
+  readonly ended: (endpoint: Endpoint) => void;
+}
+
 /** Process of an endpoint, with this host's connections and requests to it. */
 export class Endpoint {
   readonly agent: EndpointAgent;
   readonly condition = new EndpointCondition();
   /** Unfinished requests of this host. */
   inFlight = 0;
+  /** Slots kept for requests of this host that are about to be sent. */
+  reserved = 0;
   /** Unfinished requests of other hosts. */
   peerInFlight = 0;
   /**
@@ -23,6 +33,7 @@
     maximumConnections: number,
     /** Era of the store to which the version of the record's row belongs. */
     public rowEra = 0,
+    private readonly observers: Iterable<EndpointObserver> = [],
   ) {
     this.agent = new EndpointAgent({
       maximumConnections,
@@ -37,7 +48,8 @@
 
   /** Share of the slots in use by all hosts; can exceed 1. */
   get occupancy(): number {
-    return (this.inFlight + this.peerInFlight) / Math.max(1, this.record.slots);
+    const requests = this.inFlight + this.reserved + this.peerInFlight;
+    return requests / Math.max(1, this.record.slots);
   }
 
   /** Counts a request that is being sent. */
@@ -45,6 +57,7 @@
     this.inFlight++;
     const count = this.inFlightByTarget.get(target) ?? 0;
     this.inFlightByTarget.set(target, count + 1);
+    for (const observer of this.observers) observer.begun(this);
   }
 
   /** Counts a request that has ended. */
@@ -53,6 +66,7 @@
     const count = (this.inFlightByTarget.get(target) ?? 1) - 1;
     if (count === 0) this.inFlightByTarget.delete(target);
     else this.inFlightByTarget.set(target, count);
+    for (const observer of this.observers) observer.ended(this);
   }
 }
 
--- a/src/fleet/endpoint_registry.ts
+++ b/src/fleet/endpoint_registry.ts
@@ -1,7 +1,7 @@
 import type {EndpointRecord} from '../deployment/mod.ts';
 import type {EventLogger} from '../observability/mod.ts';
 import type {Clock} from '../time/mod.ts';
-import {Endpoint, incarnationOf} from './endpoint.ts';
+import {Endpoint, type EndpointObserver, incarnationOf} from './endpoint.ts';
 import {LruSet} from './lru_set.ts';
 
 /** Options of {@link EndpointRegistry}. */
@@ -32,6 +32,7 @@
   /** Those of them of which only a response has told so far. */
   private readonly noticed = new LruSet(MAXIMUM_LEAVING);
   private readonly listeners = new Set<() => void>();
+  private readonly observers = new Set<EndpointObserver>();
 
   constructor(private readonly options: EndpointRegistryOptions) {}
 
@@ -75,6 +76,11 @@
     return this.endpoints.values();
   }
 
+  /** Informs an observer of all requests of this host to endpoints. */
+  observe(observer: EndpointObserver): void {
+    this.observers.add(observer);
+  }
+
   /** Calls `listener` after each change. */
   onChange(listener: () => void): void {
     this.listeners.add(listener);
@@ -131,6 +137,7 @@
           record,
           this.options.maximumConnections(record.service),
           era,
+          this.observers,
         ),
       );
       logger.event('endpointFound', describe(record));
--- a/src/fleet/fleet_shares.ts
+++ b/src/fleet/fleet_shares.ts
@@ -28,6 +28,20 @@
     return (standby === 0 ? 1 : 1 - STANDBY_PART) / active;
   }
 
+  /**
+   * Share of the endpoints' slots whose use by other hosts this one knows of: all of
+   * them with reports of others, the equal share of an active host without.
+   */
+  ofKnownSlots(): number {
+    const {topology, hosts, connected} = this.options;
+    if (!topology.isActive) return this.ofKnownSpending();
+    const connectedIds = connected();
+    const hasReports = topology.activeHosts.some(
+      ({hostId}) => hostId !== hosts.selfId && connectedIds.has(hostId),
+    );
+    return hasReports ? 1 : 1 / Math.max(1, topology.preferredCount);
+  }
+
   /**
    * Share of a team's rate whose use this host would know of: that of the active
    * hosts that it receives reports from. A standby host without its upstream host
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -11,6 +11,7 @@
  */
 export {
   Endpoint,
+  type EndpointObserver,
   IDLE_CONNECTION_MILLISECONDS,
   incarnationOf,
 } from './endpoint.ts';
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -295,6 +295,12 @@
     level: 'info',
     message: 'Endpoint takes any number of requests again',
   },
+  admissionRefused: {
+    number: 621,
+    level: 'info',
+    message:
+      'Request refused: engines that have its model have no room within its time',
+  },
   circuitOpened: {
     number: 613,
     level: 'warn',
--- a/src/relay/dispatch_window.ts
+++ b/src/relay/dispatch_window.ts
@@ -34,6 +34,11 @@
     return Math.min(closesAt, runsEndAt - this.durations.longest(request));
   }
 
+  /** Milliseconds that a run is expected to take; 0 if that is not known. */
+  expected(request: RunOrigin): number {
+    return this.durations.typical(request);
+  }
+
   /** Monotonic time from which no endpoint can finish a request by its deadline. */
   deadlineLimit(request: RunOrigin & {readonly deadlineAt: number}): number {
     return request.deadlineAt - this.durations.shortest(request);
--- a/src/relay/run_durations.ts
+++ b/src/relay/run_durations.ts
@@ -24,6 +24,9 @@
 /** Share of the runs that are shorter than the shortest time that is expected. */
 const SHORTEST_SHARE = 0.05;
 
+/** Share of the runs that are shorter than a typical one. */
+const TYPICAL_SHARE = 0.5;
+
 /** Share of the runs that are not longer than the longest time that is expected. */
 const LONGEST_SHARE = 0.95;
 
@@ -47,6 +50,11 @@
     return this.quantile(origin, SHORTEST_SHARE);
   }
 
+  /** Milliseconds that half of the runs take at most; 0 if that is not known. */
+  typical(origin: RunOrigin): number {
+    return this.quantile(origin, TYPICAL_SHARE);
+  }
+
   /** Milliseconds within which nearly all runs end; 0 if that is not known. */
   longest(origin: RunOrigin): number {
     return this.quantile(origin, LONGEST_SHARE);
