--- a/src/admission/admission_level.ts
+++ b/src/admission/admission_level.ts
@@ -18,16 +18,16 @@
  * the share that runs of 2 s free within two report intervals of 100 ms, so that an
  * urgent request finds a slot in spite of delayed counts.
  */
-const PATIENT_RESERVE = 0.1;
+const PATIENT_RESERVE = 0.06;
 
 /** The same in addition at priority 9. */
-const PRIORITY_RESERVE = 0.1;
+const PRIORITY_RESERVE = 0.06;
 
 /**
  * Share of the slots that late requests leave free. An answer after the objective has
  * a tenth to a fifth of its value, so on-time requests of any priority go first.
  */
-const LATE_RESERVE = 0.3;
+const LATE_RESERVE = 0.16;
 
 /**
  * Part of the slack on arrival that may be spent in the queue of an engine. The other
@@ -91,10 +91,14 @@
   return Math.max(now, startBy, at) + 1;
 }
 
-/** Whether a request is late unless it starts before all current runs have ended. */
-export function isUrgent(terms: AdmissionTerms, now: number): boolean {
-  const slack = onTimeUntil(terms) - now;
-  return slack >= 0 && slack < terms.expectedMilliseconds;
+/**
+ * Whether a request can still be on time, but only if it starts before the current runs
+ * have ended, and was so from its arrival.
+ */
+export function isImmediate(terms: AdmissionTerms, now: number): boolean {
+  const startBy = onTimeUntil(terms);
+  const isPatient = startBy - terms.arrivedAt >= terms.expectedMilliseconds;
+  return now <= startBy && !isPatient;
 }
 
 /** Latest start with which the answer is expected within the objective. */
--- a/src/admission/mod.ts
+++ b/src/admission/mod.ts
@@ -12,7 +12,7 @@
 export {
   admissionLevel,
   type AdmissionTerms,
-  isUrgent,
+  isImmediate,
   onTimeUntil,
   reachesLevelAt,
 } from './admission_level.ts';
@@ -22,12 +22,17 @@
   RefusalReason,
 } from './admission_outcome.ts';
 export {EventRate} from './event_rate.ts';
+export type {AdmissionCandidate} from './_waiting_request.ts';
 export {
-  type AdmissionCandidate,
   OrderedAdmission,
   type OrderedAdmissionOptions,
 } from './ordered_admission.ts';
-export {PlaceEstimate, type PlaceInput} from './place_estimate.ts';
+export {
+  PlaceEstimate,
+  type PlaceInput,
+  type PlaceKind,
+  type PlaceRates,
+} from './place_estimate.ts';
 export {
   RETURN_SHARE,
   ReturnSchedule,
--- a/src/admission/ordered_admission.ts
+++ b/src/admission/ordered_admission.ts
@@ -4,15 +4,22 @@
 import {type RoutedRequest, targetOf} from '../relay/mod.ts';
 import type {CancelTimer, Clock} from '../time/mod.ts';
 import {AdmissionLog} from './_admission_log.ts';
+import {
+  type AdmissionCandidate,
+  admissionTerms,
+  countWaiting,
+  type WaitingRequest,
+} from './_waiting_request.ts';
 import {Reservations} from './_reservations.ts';
 import {
   admissionLevel,
   type AdmissionTerms,
-  isUrgent,
+  isImmediate,
+  onTimeUntil,
   reachesLevelAt,
 } from './admission_level.ts';
 import type {AdmissionOutcome, RefusalReason} from './admission_outcome.ts';
-import {PlaceEstimate} from './place_estimate.ts';
+import {PlaceEstimate, type PlaceKind} from './place_estimate.ts';
 import {RETURN_SHARE, ReturnSchedule} from './return_schedule.ts';
 import {RoomShare} from './room_share.ts';
 import {WaitingQueue} from './waiting_queue.ts';
@@ -22,7 +29,7 @@
   clock: Clock;
   logger: EventLogger;
   metrics: Metrics;
-  registry: Pick<EndpointRegistry, 'all' | 'observe'>;
+  registry: Pick<EndpointRegistry, 'observe'>;
   hostId: string;
   /** Share of this host among those that send requests, 0 to 1. */
   evenShare: () => number;
@@ -38,30 +45,6 @@
   hostLimit: (request: RoutedRequest) => number;
 }
 
-/** A request that asks for room. */
-export interface AdmissionCandidate {
-  readonly request: RoutedRequest;
-  readonly signal: AbortSignal;
-  /** Whether the request may be sent to an endpoint. */
-  readonly isAllowed: (endpoint: Endpoint) => boolean;
-  /** Chooses one of several endpoints that have room. */
-  readonly choose: (endpoints: readonly Endpoint[]) => Endpoint | undefined;
-}
-
-interface Waiting {
-  readonly candidate: AdmissionCandidate;
-  readonly service: string;
-  readonly team: string;
-  readonly target: string;
-  /** Replaced when the time of the request changes. */
-  terms: AdmissionTerms;
-  readonly since: number;
-  readonly settle: (outcome: AdmissionOutcome) => void;
-}
-
-/** Expected duration of a run before any has ended; runs took 1.4 to 3 s. */
-const DEFAULT_RUN_MILLISECONDS = 2000;
-
 /**
  * Holds requests for loaded models back while the engines are full, and sends them in
  * an order that all hosts share, although each host decides alone: a request is sent
@@ -71,7 +54,7 @@
  * have not been sent, so nothing is lost or repeated when the host ends.
  */
 export class OrderedAdmission {
-  private readonly queue = new WaitingQueue<Waiting>();
+  private readonly queue = new WaitingQueue<WaitingRequest>();
   private readonly room: RoomShare;
   private readonly places = new PlaceEstimate();
   private readonly returns = new ReturnSchedule();
@@ -86,7 +69,7 @@
       begun: endpoint => this.reservations.end(endpoint),
       ended: endpoint => {
         this.places.recordEnd(endpoint, this.now());
-        this.admitWaiting();
+        this.admitWaiting(endpoint);
       },
     });
   }
@@ -101,7 +84,7 @@
       return Promise.resolve({kind: 'no_candidate'});
     return new Promise(resolve => {
       const abort = () => entry.settle({kind: 'aborted'});
-      const entry: Waiting = {
+      const entry: WaitingRequest = {
         candidate,
         service: request.service.name,
         team: request.team ?? '',
@@ -117,7 +100,7 @@
       };
       signal.addEventListener('abort', abort, {once: true});
       this.queue.add(entry);
-      this.admitWaiting(entry);
+      this.admitWaiting();
       this.refuseWhatIsTooMuch(entry);
       this.log.waiting(this.queue.size);
     });
@@ -131,7 +114,7 @@
   /** Called when the counts of other hosts' requests have been updated. */
   countsUpdated(): void {
     this.reservations.expire(this.now());
-    this.room.startWindow(this.options.registry.all());
+    this.room.startWindow();
     this.admitWaiting();
   }
 
@@ -151,47 +134,28 @@
       const {lastStartAt} = entry.terms;
       if (lastStartAt !== this.options.hostLimit(entry.candidate.request))
         continue;
-      const waitMilliseconds = this.expectedWait(entry).milliseconds;
-      if (now + waitMilliseconds > lastStartAt) this.refuse(entry, 'draining');
+      if (this.expectedWait(entry).isTooLong) this.refuse(entry, 'draining');
     }
   }
 
   /** Targets of loaded models that requests of this host wait for. */
   waiting(): readonly WaitingCount[] {
-    const now = this.now();
-    const counts = new Map<string, WaitingCount>();
-    for (const {service, target, candidate, since} of this.queue.all()) {
-      const key = `${service} ${target}`;
-      const known = counts.get(key);
-      const {priority} = candidate.request;
-      counts.set(key, {
-        service,
-        target,
-        requests: (known?.requests ?? 0) + 1,
-        timely: 0,
-        priority: Math.min(known?.priority ?? priority, priority),
-        isHeld: true,
-        isServable: true,
-        waitedMilliseconds: Math.max(
-          known?.waitedMilliseconds ?? 0,
-          now - since,
-        ),
-      });
-    }
-    return [...counts.values()];
+    return countWaiting(this.queue.all(), this.now());
   }
 
   /**
    * Sends waiting requests for which there is room, the most urgent first.
    *
-   * @param arrived Request that has just arrived.
+   * @param freed Endpoint at which a request of this host has just ended. One request
+   *     takes its place, which adds nothing to what the other hosts see.
    */
-  private admitWaiting(arrived?: Waiting): void {
+  private admitWaiting(freed?: Endpoint): void {
     this.cancelTimer();
     if (this.queue.size === 0) return;
     const now = this.now();
     this.reservations.expire(now);
     const holders = new Map<string, readonly Endpoint[]>();
+    let replaceable = freed;
     let wakeAt = Number.POSITIVE_INFINITY;
     for (const entry of this.queue.ordered(now)) {
       const {terms} = entry;
@@ -204,15 +168,18 @@
         entry.settle({kind: 'no_candidate'});
         continue;
       }
-      const endpoint = this.placeFor(entry, candidates, entry === arrived);
+      const endpoint = this.placeFor(entry, candidates, replaceable);
       if (endpoint !== undefined) {
         this.reservations.add(endpoint, now);
-        if (entry === arrived) this.places.recordDirect(endpoint, now);
+        const kind = placeKind(entry, now);
+        this.places.recordPlace(endpoint, kind, now);
+        if (endpoint === replaceable) replaceable = undefined;
+        else this.room.record(endpoint, kind === 'immediate');
         entry.settle({kind: 'admitted', endpoint});
         continue;
       }
-      const lowest = this.lowestOccupancy(candidates);
-      const risesAt = reachesLevelAt(terms, lowest, now);
+      const needed = this.room.levelNeeded(candidates);
+      const risesAt = reachesLevelAt(terms, needed, now);
       wakeAt = Math.min(wakeAt, terms.lastStartAt);
       // What the level allows already waits for the next counts.
       if (risesAt !== undefined && risesAt > now)
@@ -226,17 +193,26 @@
   }
 
   private placeFor(
-    entry: Waiting,
+    entry: WaitingRequest,
     candidates: readonly Endpoint[],
-    hasArrived: boolean,
+    replaceable: Endpoint | undefined,
   ): Endpoint | undefined {
     const now = this.now();
     const level = admissionLevel(entry.terms, now);
     const below = this.room.below({candidates, level});
     if (below.length === 0) return undefined;
-    const isImmediate = hasArrived && isUrgent(entry.terms, now);
-    return this.room.allows({candidates, level, isImmediate})
-      ? entry.candidate.choose(below)
+    if (replaceable !== undefined && below.includes(replaceable))
+      return replaceable;
+    const claim = {
+      candidates,
+      level,
+      isImmediate: isImmediate(entry.terms, now),
+    };
+    return this.room.allows(claim)
+      ? entry.candidate.choose(
+          below,
+          this.room.draw({candidates: below, level}),
+        )
       : undefined;
   }
 
@@ -244,29 +220,33 @@
    * Refuses a request that has arrived if its turn comes too late, or else the last
    * one of its engines if it has become one too many.
    */
-  private refuseWhatIsTooMuch(arrived: Waiting): void {
+  private refuseWhatIsTooMuch(arrived: WaitingRequest): void {
     const now = this.now();
     const ordered = this.queue.ordered(now);
     if (!ordered.includes(arrived)) return;
     const wait = this.expectedWait(arrived);
-    if (now + wait.milliseconds > arrived.terms.lastStartAt) {
+    if (wait.isTooLong) {
       this.refuse(arrived, 'too_late');
       return;
     }
     const rivals = this.rivalsOf(arrived, ordered);
     const latestStart = Math.max(...rivals.map(({terms}) => terms.lastStartAt));
-    const servable = (wait.placesPerSecond * (latestStart - now)) / 1000;
+    const servable = (wait.queuePerSecond * (latestStart - now)) / 1000;
     const last = rivals.at(-1);
-    if (last !== undefined && rivals.length > 1 + servable)
+    if (last !== undefined && rivals.length > 1 + atMost(servable))
       this.refuse(last, 'queue_full');
   }
 
-  private expectedWait(entry: Waiting) {
+  private expectedWait(entry: WaitingRequest) {
     const now = this.now();
     const candidates = this.candidatesOf(entry, new Map());
     const rivals = this.rivalsOf(entry, this.queue.ordered(now));
+    const {lastStartAt} = entry.terms;
     const ahead = Math.max(0, rivals.indexOf(entry));
-    const placesPerSecond = this.places.perSecond(
+    const sooner = rivals.filter(
+      ({terms}, index) => index > ahead && terms.lastStartAt < lastStartAt,
+    );
+    const places = this.places.perSecond(
       {
         candidates,
         expectedMilliseconds: entry.terms.expectedMilliseconds,
@@ -275,12 +255,28 @@
       },
       now,
     );
-    const milliseconds = ahead === 0 ? 0 : (ahead * 1000) / placesPerSecond;
-    return {candidates, ahead, placesPerSecond, milliseconds};
+    const onTimeMilliseconds = (ahead * 1000) / places.onTimePerSecond;
+    const isOnTime = now + onTimeMilliseconds <= onTimeUntil(entry.terms);
+    const before = isOnTime ? ahead : ahead + sooner.length;
+    const placesPerSecond = isOnTime
+      ? places.onTimePerSecond
+      : places.latePerSecond;
+    const inTime = (placesPerSecond * Math.max(0, lastStartAt - now)) / 1000;
+    return {
+      candidates,
+      before,
+      placesPerSecond,
+      milliseconds: (before * 1000) / placesPerSecond,
+      queuePerSecond: places.onTimePerSecond,
+      isTooLong: before > atMost(inTime),
+    };
   }
 
   /** Waiting requests that can take a place of a request, in order; with itself. */
-  private rivalsOf(entry: Waiting, ordered: readonly Waiting[]): Waiting[] {
+  private rivalsOf(
+    entry: WaitingRequest,
+    ordered: readonly WaitingRequest[],
+  ): WaitingRequest[] {
     const holders = new Map<string, readonly Endpoint[]>();
     const wanted = new Set(this.candidatesOf(entry, holders));
     return ordered.filter(
@@ -292,7 +288,7 @@
     );
   }
 
-  private refuse(entry: Waiting, reason: RefusalReason): void {
+  private refuse(entry: WaitingRequest, reason: RefusalReason): void {
     const {request} = entry.candidate;
     const {terms, service, target} = entry;
     const now = this.now();
@@ -318,8 +314,8 @@
       occupancy:
         wait.candidates.length === 0
           ? undefined
-          : this.lowestOccupancy(wait.candidates),
-      ahead: wait.ahead,
+          : this.room.levelNeeded(wait.candidates),
+      ahead: wait.before,
       waiting: this.queue.size,
       placesPerSecond: wait.placesPerSecond,
       expectedWaitMilliseconds: wait.milliseconds,
@@ -329,20 +325,20 @@
     entry.settle({kind: 'refused', reason, retryAfterMilliseconds});
   }
 
-  private expiryReason({terms, candidate}: Waiting): RefusalReason {
+  private expiryReason({terms, candidate}: WaitingRequest): RefusalReason {
     const isHostStopping =
       terms.lastStartAt === this.options.hostLimit(candidate.request);
     return isHostStopping ? 'draining' : 'expired';
   }
 
-  private recordEnd(entry: Waiting, outcome: AdmissionOutcome): void {
+  private recordEnd(entry: WaitingRequest, outcome: AdmissionOutcome): void {
     const waited = this.now() - entry.since;
     this.log.ended(outcomeLabel(outcome), entry.service, waited);
     this.log.waiting(this.queue.size);
   }
 
   private candidatesOf(
-    {service, target, candidate}: Waiting,
+    {service, target, candidate}: WaitingRequest,
     holders: Map<string, readonly Endpoint[]>,
   ): readonly Endpoint[] {
     const key = `${service} ${target}`;
@@ -351,24 +347,12 @@
     return known.filter(candidate.isAllowed);
   }
 
-  private lowestOccupancy(candidates: readonly Endpoint[]): number {
-    return Math.min(
-      ...candidates.map(endpoint => this.room.occupancy(endpoint)),
-    );
-  }
-
   private termsOf(request: RoutedRequest): AdmissionTerms {
-    const {expectedMilliseconds, lastStartAt} = this.options;
-    const expected = expectedMilliseconds(request) || DEFAULT_RUN_MILLISECONDS;
-    return {
-      arrivedAt: request.arrivedAt,
-      objectiveMilliseconds: request.route.objectiveMilliseconds,
-      // The objective of a stream is that of its first event.
-      answerMilliseconds: request.route.kind === 'streaming' ? 0 : expected,
-      lastStartAt: lastStartAt(request),
-      priority: request.priority,
-      expectedMilliseconds: expected,
-    };
+    return admissionTerms(
+      request,
+      this.options.expectedMilliseconds(request),
+      this.options.lastStartAt(request),
+    );
   }
 
   private now(): number {
@@ -376,6 +360,14 @@
   }
 }
 
+/**
+ * Places that may become free when a number of them is expected. They come at random
+ * times, so that the number varies by about its root.
+ */
+function atMost(expected: number): number {
+  return expected + Math.sqrt(Math.max(0, expected));
+}
+
 function outcomeLabel(outcome: AdmissionOutcome): string {
   switch (outcome.kind) {
     case 'refused':
@@ -388,3 +380,8 @@
       return unreachable(outcome);
   }
 }
+
+function placeKind({terms, since}: WaitingRequest, now: number): PlaceKind {
+  if (isImmediate(terms, now)) return 'immediate';
+  return since < now && now <= onTimeUntil(terms) ? 'on_time' : 'other';
+}
--- a/src/admission/place_estimate.ts
+++ b/src/admission/place_estimate.ts
@@ -1,7 +1,7 @@
 import type {Endpoint} from '../fleet/mod.ts';
 import {EventRate} from './event_rate.ts';
 
-/** Input of {@link PlaceEstimate.perSecond}. */
+/** Input of {@link PlaceEstimate}. */
 export interface PlaceInput {
   readonly candidates: readonly Endpoint[];
   readonly expectedMilliseconds: number;
@@ -11,16 +11,36 @@
   readonly slotShare: number;
 }
 
+/** Places a second, which waiting requests get one after the other. */
+export interface PlaceRates {
+  /** For requests that can still be on time. */
+  readonly onTimePerSecond: number;
+  /** For late requests, which get those that the others leave. */
+  readonly latePerSecond: number;
+}
+
+/** Who got a place. */
+export type PlaceKind =
+  /** A request that had little slack from the start. */
+  | 'immediate'
+  /** One that waited and could still be on time. */
+  | 'on_time'
+  /** Another one. */
+  | 'other';
+
 /**
  * Part of the places that waiting requests get at least: in the end, their level is as
- * high as that of requests that do not wait.
+ * high as that of immediate requests.
  */
 const MINIMUM_PART = 0.1;
 
-interface Rates {
-  readonly completions: EventRate;
-  readonly direct: EventRate;
-}
+/**
+ * Places a second that are taken to go to any request, so that nothing is concluded
+ * from the few requests that a host sends where many share an engine.
+ */
+const PRIOR_PER_SECOND = 1;
+
+type Rates = Readonly<Record<PlaceKind | 'ended', EventRate>>;
 
 /** Estimates how many waiting requests of this host engines will take. */
 export class PlaceEstimate {
@@ -28,39 +48,51 @@
 
   /** Records that a request of this host has ended at an endpoint. */
   recordEnd(endpoint: Endpoint, now: number): void {
-    this.ratesOf(endpoint).completions.record(now);
+    this.ratesOf(endpoint).ended.record(now);
   }
 
-  /** Records a request that was sent without a wait, ahead of the waiting ones. */
-  recordDirect(endpoint: Endpoint, now: number): void {
-    this.ratesOf(endpoint).direct.record(now);
+  /** Records that a request has got a place at an endpoint. */
+  recordPlace(endpoint: Endpoint, kind: PlaceKind, now: number): void {
+    this.ratesOf(endpoint)[kind].record(now);
   }
 
   /**
-   * Places a second for waiting requests: the rate at which requests of this host end,
-   * or that of its share of the slots if it has had less to send, without the requests
-   * that do not wait.
+   * Places a second for requests that can wait: the rate at which requests of this host
+   * end, or that of its share of the slots if it has had less to send, without the part
+   * that more urgent requests take.
    */
-  perSecond(input: PlaceInput, now: number): number {
+  perSecond(input: PlaceInput, now: number): PlaceRates {
     let slots = 0;
-    let completions = 0;
-    let direct = 0;
+    const sums = {immediate: 0, on_time: 0, other: PRIOR_PER_SECOND, ended: 0};
     for (const endpoint of input.candidates) {
       const rates = this.ratesOf(endpoint);
       slots += Math.max(1, endpoint.record.slots);
-      completions += rates.completions.perSecond(now);
-      direct += rates.direct.perSecond(now);
+      sums.immediate += rates.immediate.perSecond(now);
+      sums.on_time += rates.on_time.perSecond(now);
+      sums.other += rates.other.perSecond(now);
+      sums.ended += rates.ended.perSecond(now);
     }
     const runsPerSecond = (slots * 1000) / input.expectedMilliseconds;
     const capacity = runsPerSecond * input.share * input.slotShare;
-    const available = Math.max(completions, capacity) - direct;
-    return Math.max(MINIMUM_PART * capacity, available);
+    const places = Math.max(sums.ended, capacity);
+    const {immediate, on_time: onTime, other} = sums;
+    const all = immediate + onTime + other;
+    const partOf = (rate: number) => Math.max(MINIMUM_PART, rate / all);
+    return {
+      onTimePerSecond: places * partOf(onTime + other),
+      latePerSecond: places * partOf(other),
+    };
   }
 
   private ratesOf(endpoint: Endpoint): Rates {
     let rates = this.rates.get(endpoint);
     if (rates === undefined) {
-      rates = {completions: new EventRate(), direct: new EventRate()};
+      rates = {
+        immediate: new EventRate(),
+        on_time: new EventRate(),
+        other: new EventRate(),
+        ended: new EventRate(),
+      };
       this.rates.set(endpoint, rates);
     }
     return rates;
--- a/src/admission/return_schedule.ts
+++ b/src/admission/return_schedule.ts
@@ -1,3 +1,5 @@
+import {GOLDEN_FRACTION} from './_golden_fraction.ts';
+
 /** When a refused caller can return; times are monotonic. */
 export interface ReturnTerms {
   readonly now: number;
@@ -12,9 +14,6 @@
 /** Share of the time left to a caller after which it retries at the latest. */
 export const RETURN_SHARE = 1 / 3;
 
-/** Fraction whose multiples are spread evenly over any number of callers. */
-const GOLDEN_FRACTION = 0.618_034;
-
 /** Maximum number of targets; the least recently added is dropped. */
 const MAXIMUM_TARGETS = 1000;
 
--- a/src/admission/room_share.ts
+++ b/src/admission/room_share.ts
@@ -1,4 +1,5 @@
 import type {Endpoint} from '../fleet/mod.ts';
+import {GOLDEN_FRACTION} from './_golden_fraction.ts';
 
 /** Options of {@link RoomShare}. */
 export interface RoomShareOptions {
@@ -12,82 +13,173 @@
   slotShare: () => number;
 }
 
-/** Requests that a host would like to send. */
+/** A request that a host would like to send. */
 export interface RoomClaim {
   readonly candidates: readonly Endpoint[];
   /** Occupancy up to which a candidate may be used. */
   readonly level: number;
-  /** Whether the request has just arrived and cannot wait. */
+  /** Whether the request had little slack from the start, and is not late. */
   readonly isImmediate: boolean;
 }
 
 /**
- * Part of the free slots of engines that one host uses before the next counts arrive.
- * For many hosts that see the same free slots in counts that are a report interval old,
- * and would fill each of them many times: a host sends its share of the room, rounded
- * up or down by a hash of its name, and one request for each of its own that ended.
+ * Weight of an equal share of the room, in slots of the engines: with half of them in
+ * use, it counts as much as a host's share of the requests.
+ */
+const PRIOR_SHARE = 0.5;
+
+/** Requests that a host has sent to each endpoint between two counts. */
+class Window {
+  readonly immediate = new Map<Endpoint, number>();
+  readonly patient = new Map<Endpoint, number>();
+}
+
+/**
+ * Part of the free slots of engines that one host uses before the other hosts see it.
+ * For many hosts that see the same free slots in delayed counts, and would fill each of
+ * them many times: a host sends its share of the room, rounded up or down by a hash of
+ * its name. A request that replaces one of its own that has ended needs no share. Immediate requests are few
+ * at a time, since they become late soon, so each host may send one of them.
+ *
+ * The counts are used for one report interval, and those of other hosts were up to one
+ * old then, so the room is divided over two windows.
  */
 export class RoomShare {
-  /** Requests of this host at each endpoint when the counts arrived. */
-  private ownAtStart = new Map<Endpoint, number>();
-  private window = 0;
+  private current = new Window();
+  private previous = new Window();
+  private windows = 0;
+  private draws = 0;
+  private readonly firstDraw: number;
   private rounding: number;
 
   constructor(private readonly options: RoomShareOptions) {
     this.rounding = fraction(`${options.hostId} 0`);
+    this.firstDraw = fraction(`${options.hostId} draw`);
   }
 
   /** Starts to count anew, since new counts of the other hosts have arrived. */
-  startWindow(endpoints: Iterable<Endpoint>): void {
-    this.window++;
-    this.rounding = fraction(`${this.options.hostId} ${this.window}`);
-    this.ownAtStart = new Map();
-    for (const endpoint of endpoints)
-      this.ownAtStart.set(endpoint, ownRequests(endpoint));
+  startWindow(): void {
+    this.windows++;
+    this.rounding = fraction(`${this.options.hostId} ${this.windows}`);
+    this.previous = this.current;
+    this.current = new Window();
+  }
+
+  /** Records that a request is sent that {@link allows} has allowed. */
+  record(endpoint: Endpoint, isImmediate: boolean): void {
+    const {immediate, patient} = this.current;
+    const sent = isImmediate ? immediate : patient;
+    sent.set(endpoint, (sent.get(endpoint) ?? 0) + 1);
   }
 
   /** Occupancy of the part of an endpoint's slots whose use this host knows of. */
   occupancy(endpoint: Endpoint): number {
-    return (
-      endpoint.occupancy / Math.max(Number.EPSILON, this.options.slotShare())
-    );
+    const {slotShare} = this.options;
+    return endpoint.occupancy / Math.max(Number.EPSILON, slotShare());
   }
 
-  /** Candidates that are occupied less than a level. */
+  /** Candidates to which a request of a level may be sent; none if there is no room. */
   below({candidates, level}: Omit<RoomClaim, 'isImmediate'>): Endpoint[] {
-    return candidates.filter(endpoint => this.occupancy(endpoint) < level);
+    if (this.roomBelow(candidates, level) <= 0) return [];
+    const limit = Math.max(1, level);
+    return candidates.filter(endpoint => this.occupancy(endpoint) < limit);
+  }
+
+  /** Occupancy that the level of a request must exceed to find room. */
+  levelNeeded(candidates: readonly Endpoint[]): number {
+    const slots = this.slotsOf(candidates);
+    const free = this.roomBelow(candidates, 1);
+    return free > 0
+      ? 1 - free / (slots * this.options.slotShare())
+      : Math.min(...candidates.map(endpoint => this.occupancy(endpoint)));
   }
 
   /** Whether this host may send one more request now. */
   allows({candidates, level, isImmediate}: RoomClaim): boolean {
-    let added = 0;
-    let room = 0;
+    const kind = isImmediate ? 'immediate' : 'patient';
+    let sent = 0;
+    for (const endpoint of candidates) {
+      sent += this.sentTo(endpoint, kind);
+    }
+    const room = Math.ceil(this.roomBelow(candidates, level));
+    const part = (room + sent) * this.shareOf(candidates);
+    return isImmediate ? sent <= part : sent + 1 <= part + this.rounding;
+  }
+
+  /**
+   * Draws one of several candidates below a level in proportion to their free slots,
+   * since hosts that all take the least occupied one fill it many times over.
+   */
+  draw({candidates, level}: Omit<RoomClaim, 'isImmediate'>): Endpoint {
+    const weights = candidates.map(endpoint => {
+      const {condition, record} = endpoint;
+      const free =
+        Math.max(1, level) - this.occupancy(endpoint) - condition.failureRate;
+      return Math.max(Number.EPSILON, free) * Math.max(1, record.slots);
+    });
+    let left = weights.reduce((sum, weight) => sum + weight, 0);
+    // Multiples of this fraction spread the requests of a host evenly.
+    left *= (this.firstDraw + this.draws++ * GOLDEN_FRACTION) % 1;
+    const drawn = candidates.find((_, index) => {
+      left -= weights[index] ?? 0;
+      return left < 0;
+    });
+    const chosen = drawn ?? candidates[0];
+    if (chosen === undefined) throw new Error('No candidates to draw from');
+    return chosen;
+  }
+
+  /**
+   * Slots that are free below a level. What a lower level than 1 leaves free is kept
+   * over all candidates together: the slots of a single engine are too few to tell
+   * levels apart.
+   */
+  private roomBelow(candidates: readonly Endpoint[], level: number): number {
+    const limit = Math.max(1, level);
     const slotShare = this.options.slotShare();
+    let room = (level - limit) * this.slotsOf(candidates) * slotShare;
     for (const endpoint of candidates) {
-      added += ownRequests(endpoint) - (this.ownAtStart.get(endpoint) ?? 0);
-      const free = (level - this.occupancy(endpoint)) * slotShare;
-      room += Math.ceil(Math.max(0, free) * endpoint.record.slots);
+      const free = Math.max(0, limit - this.occupancy(endpoint));
+      room += free * slotShare * Math.max(1, endpoint.record.slots);
     }
-    const part = (room + added) * this.shareOf(candidates);
-    // Each host may send one without a rush: there is room for all of them, or few
-    // requests that cannot wait arrive within one report interval.
-    const isSafe = part >= 1 || isImmediate;
-    return added + 1 <= part + (isSafe ? 1 : this.rounding);
+    return room;
+  }
+
+  private slotsOf(candidates: readonly Endpoint[]): number {
+    return candidates.reduce(
+      (sum, {record}) => sum + Math.max(1, record.slots),
+      0,
+    );
   }
 
   /**
    * Part of the requests at the candidates that is of this host, which follows its part
-   * of the waiting requests; at least an equal share.
+   * of the waiting requests. With few requests it is an equal share, and recent ones are
+   * left out since those of the other hosts are not known yet; so the shares of all
+   * hosts add up to 1.
    */
   shareOf(candidates: readonly Endpoint[]): number {
+    // A host without reports has its part of the slots for itself.
+    if (this.options.slotShare() < 1) return 1;
     let own = 0;
     let all = 0;
     for (const endpoint of candidates) {
-      own += ownRequests(endpoint);
-      all += ownRequests(endpoint) + endpoint.peerInFlight;
+      const sent =
+        this.sentTo(endpoint, 'immediate') + this.sentTo(endpoint, 'patient');
+      const known = Math.max(0, ownRequests(endpoint) - sent);
+      own += known;
+      all += known + endpoint.peerInFlight;
     }
+    const prior = this.slotsOf(candidates) * PRIOR_SHARE;
     const even = Math.min(1, this.options.evenShare());
-    return all === 0 ? even : Math.max(even, own / all);
+    return (own + even * prior) / (all + prior);
+  }
+
+  private sentTo(endpoint: Endpoint, kind: keyof Window): number {
+    return (
+      (this.current[kind].get(endpoint) ?? 0) +
+      (this.previous[kind].get(endpoint) ?? 0)
+    );
   }
 }
 
--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -137,8 +137,8 @@
               signal,
               isAllowed: endpoint =>
                 isOpen(endpoint) && !excluded.has(endpoint.incarnation),
-              choose: endpoints =>
-                this.choose(endpoints, request, excluded, preference),
+              choose: (endpoints, drawn) =>
+                this.chooseDrawn(endpoints, drawn, request, preference),
             });
       if (outcome?.kind === 'refused')
         return this.refuseWaiting(request, outcome);
@@ -257,6 +257,25 @@
     });
   }
 
+  /**
+   * Chooses the endpoint that keeps a session's prompt where that is worth its load, or
+   * else the one that was drawn, so that the hosts do not all choose the same one.
+   */
+  private chooseDrawn(
+    endpoints: readonly Endpoint[],
+    drawn: Endpoint,
+    request: RoutedRequest,
+    preference: EndpointPreference,
+  ): Endpoint | undefined {
+    const none = new Set<string>();
+    const preferred = this.choose(endpoints, request, none, preference);
+    const cheapest = this.choose(endpoints, request, none, 'least_loaded');
+    const isAlone = (this.options.admission?.evenShare() ?? 1) >= 1;
+    return isAlone || preferred !== cheapest || this.limited.has(drawn)
+      ? preferred
+      : drawn;
+  }
+
   /**
    * Refuses a request for what the configuration has contained when it arrived
    * but no longer does: no host loads its model any more.
--- a/src/entry/_bind_requests.ts
+++ b/src/entry/_bind_requests.ts
@@ -82,7 +82,9 @@
                 hostId: settings.hostId,
                 logger,
                 metrics: container.get(Metrics),
-                evenShare: () => shares().ofBudget(),
+                evenShare: () =>
+                  1 /
+                  Math.max(1, container.get(FleetTopology).activeHosts.length),
                 slotShare: () => shares().ofKnownSlots(),
               },
             }
