--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -129,14 +129,15 @@
     const returnAt = new Map<string, number>();
     for (;;) {
       const isOpen = ({incarnation}: Endpoint) => !returnAt.has(incarnation);
+      // A request that has failed at an endpoint had its turn, and is owed an answer if
+      // it has begun.
       const outcome =
-        this.admission === undefined || !isModelRequest
+        this.admission === undefined || !isModelRequest || excluded.size > 0
           ? undefined
           : await this.admission.waitForRoom({
               request,
               signal,
-              isAllowed: endpoint =>
-                isOpen(endpoint) && !excluded.has(endpoint.incarnation),
+              isAllowed: isOpen,
               choose: (endpoints, drawn) =>
                 this.chooseDrawn(endpoints, drawn, request, preference),
             });
