Merge the order of waiting requests

Cause: requests were sent as soon as an engine had their model, and the queues of the engines decided; deferred work competed once, on arrival. Change: the setting admission, which deployments whose callers compete for room call for. With balancing, the balancer chooses among the engines with room.

--- /dev/null
+++ b/src/admission/ordered_admission.ts
@@ -0,0 +1,387 @@
+import {unreachable} from '../errors/mod.ts';
+import type {Endpoint, EndpointRegistry, WaitingCount} from '../fleet/mod.ts';
+import type {EventLogger, Metrics} from '../observability/mod.ts';
+import {type RoutedRequest, targetOf} from '../relay/mod.ts';
+import type {CancelTimer, Clock} from '../time/mod.ts';
+import {AdmissionLog} from './_admission_log.ts';
+import {
+  type AdmissionCandidate,
+  admissionTerms,
+  countWaiting,
+  type WaitingRequest,
+} from './_waiting_request.ts';
+import {Reservations} from './_reservations.ts';
+import {
+  admissionLevel,
+  type AdmissionTerms,
+  isImmediate,
+  onTimeUntil,
+  reachesLevelAt,
+} from './admission_level.ts';
+import type {AdmissionOutcome, RefusalReason} from './admission_outcome.ts';
+import {PlaceEstimate, type PlaceKind} from './place_estimate.ts';
+import {RETURN_SHARE, ReturnSchedule} from './return_schedule.ts';
+import {RoomShare} from './room_share.ts';
+import {WaitingQueue} from './waiting_queue.ts';
+
+/** Options of {@link OrderedAdmission}. */
+export interface OrderedAdmissionOptions {
+  clock: Clock;
+  logger: EventLogger;
+  metrics: Metrics;
+  registry: Pick<EndpointRegistry, 'observe'>;
+  hostId: string;
+  /** Share of this host among those that send requests, 0 to 1. */
+  evenShare: () => number;
+  /** Share of the slots whose use this host knows of, 0 to 1. */
+  slotShare: () => number;
+  /** Engines that have a target and take requests now. */
+  holders: (service: string, target: string) => readonly Endpoint[];
+  /** Expected milliseconds of a run; 0 if that is not known. */
+  expectedMilliseconds: (request: RoutedRequest) => number;
+  /** Time until which a request may be sent. */
+  lastStartAt: (request: RoutedRequest) => number;
+  /** Time from which a request is left to other hosts; Infinity unless this host stops. */
+  hostLimit: (request: RoutedRequest) => number;
+}
+
+/**
+ * Holds requests for loaded models back while the engines are full, and sends them in
+ * an order that all hosts share, although each host decides alone: a request is sent
+ * when the occupancy of an engine is below its admission level.
+ *
+ * For load above the capacity of the engines. State is in memory only; waiting requests
+ * have not been sent, so nothing is lost or repeated when the host ends.
+ */
+export class OrderedAdmission {
+  private readonly queue = new WaitingQueue<WaitingRequest>();
+  private readonly room: RoomShare;
+  private readonly places = new PlaceEstimate();
+  private readonly returns = new ReturnSchedule();
+  private readonly reservations = new Reservations();
+  private readonly log: AdmissionLog;
+  private cancelTimer: CancelTimer = () => undefined;
+
+  constructor(private readonly options: OrderedAdmissionOptions) {
+    this.room = new RoomShare(options);
+    this.log = new AdmissionLog(options);
+    options.registry.observe({
+      begun: endpoint => this.reservations.end(endpoint),
+      ended: endpoint => {
+        this.places.recordEnd(endpoint, this.now());
+        this.admitWaiting(endpoint);
+      },
+    });
+  }
+
+  /** Waits until a request may be sent to one of the engines that have its target. */
+  waitForRoom(candidate: AdmissionCandidate): Promise<AdmissionOutcome> {
+    const {request, signal} = candidate;
+    if (signal.aborted) return Promise.resolve({kind: 'aborted'});
+    const target = targetOf(request.metadata);
+    const holders = this.options.holders(request.service.name, target);
+    if (!holders.some(candidate.isAllowed))
+      return Promise.resolve({kind: 'no_candidate'});
+    return new Promise(resolve => {
+      const abort = () => entry.settle({kind: 'aborted'});
+      const entry: WaitingRequest = {
+        candidate,
+        service: request.service.name,
+        team: request.team ?? '',
+        target,
+        terms: this.termsOf(request),
+        since: this.now(),
+        settle: outcome => {
+          if (!this.queue.delete(entry)) return;
+          signal.removeEventListener('abort', abort);
+          this.recordEnd(entry, outcome);
+          resolve(outcome);
+        },
+      };
+      signal.addEventListener('abort', abort, {once: true});
+      this.queue.add(entry);
+      this.admitWaiting();
+      this.refuseWhatIsTooMuch(entry);
+      this.log.waiting(this.queue.size);
+    });
+  }
+
+  /** Gives a slot back that was reserved for an admitted request. */
+  release(endpoint: Endpoint): void {
+    this.reservations.end(endpoint);
+  }
+
+  /** Called when the counts of other hosts' requests have been updated. */
+  countsUpdated(): void {
+    this.reservations.expire(this.now());
+    this.room.startWindow();
+    this.admitWaiting();
+  }
+
+  /** Called when engines or their replicas have changed. */
+  enginesChanged(): void {
+    this.admitWaiting();
+  }
+
+  /** Called when the configuration or the time until which the host runs has changed. */
+  recheck(): void {
+    const now = this.now();
+    for (const entry of this.queue.all())
+      entry.terms = this.termsOf(entry.candidate.request);
+    this.admitWaiting();
+    // Callers reach another host sooner if they are not kept until this one stops.
+    for (const entry of this.queue.ordered(now)) {
+      const {lastStartAt} = entry.terms;
+      if (lastStartAt !== this.options.hostLimit(entry.candidate.request))
+        continue;
+      if (this.expectedWait(entry).isTooLong) this.refuse(entry, 'draining');
+    }
+  }
+
+  /** Targets of loaded models that requests of this host wait for. */
+  waiting(): readonly WaitingCount[] {
+    return countWaiting(this.queue.all(), this.now());
+  }
+
+  /**
+   * Sends waiting requests for which there is room, the most urgent first.
+   *
+   * @param freed Endpoint at which a request of this host has just ended. One request
+   *     takes its place, which adds nothing to what the other hosts see.
+   */
+  private admitWaiting(freed?: Endpoint): void {
+    this.cancelTimer();
+    if (this.queue.size === 0) return;
+    const now = this.now();
+    this.reservations.expire(now);
+    const holders = new Map<string, readonly Endpoint[]>();
+    let replaceable = freed;
+    let wakeAt = Number.POSITIVE_INFINITY;
+    for (const entry of this.queue.ordered(now)) {
+      const {terms} = entry;
+      if (terms.lastStartAt <= now) {
+        this.refuse(entry, this.expiryReason(entry));
+        continue;
+      }
+      const candidates = this.candidatesOf(entry, holders);
+      if (candidates.length === 0) {
+        entry.settle({kind: 'no_candidate'});
+        continue;
+      }
+      const endpoint = this.placeFor(entry, candidates, replaceable);
+      if (endpoint !== undefined) {
+        this.reservations.add(endpoint, now);
+        const kind = placeKind(entry, now);
+        this.places.recordPlace(endpoint, kind, now);
+        if (endpoint === replaceable) replaceable = undefined;
+        else this.room.record(endpoint, kind === 'immediate');
+        entry.settle({kind: 'admitted', endpoint});
+        continue;
+      }
+      const needed = this.room.levelNeeded(candidates);
+      const risesAt = reachesLevelAt(terms, needed, now);
+      wakeAt = Math.min(wakeAt, terms.lastStartAt);
+      // What the level allows already waits for the next counts.
+      if (risesAt !== undefined && risesAt > now)
+        wakeAt = Math.min(wakeAt, risesAt);
+    }
+    if (this.queue.size === 0) return;
+    this.cancelTimer = this.options.clock.startTimer(
+      Math.max(1, wakeAt - now),
+      () => this.admitWaiting(),
+    );
+  }
+
+  private placeFor(
+    entry: WaitingRequest,
+    candidates: readonly Endpoint[],
+    replaceable: Endpoint | undefined,
+  ): Endpoint | undefined {
+    const now = this.now();
+    const level = admissionLevel(entry.terms, now);
+    const below = this.room.below({candidates, level});
+    if (below.length === 0) return undefined;
+    if (replaceable !== undefined && below.includes(replaceable))
+      return replaceable;
+    const claim = {
+      candidates,
+      level,
+      isImmediate: isImmediate(entry.terms, now),
+    };
+    return this.room.allows(claim)
+      ? entry.candidate.choose(
+          below,
+          this.room.draw({candidates: below, level}),
+        )
+      : undefined;
+  }
+
+  /**
+   * Refuses a request that has arrived if its turn comes too late, or else the last
+   * one of its engines if it has become one too many.
+   */
+  private refuseWhatIsTooMuch(arrived: WaitingRequest): void {
+    const now = this.now();
+    const ordered = this.queue.ordered(now);
+    if (!ordered.includes(arrived)) return;
+    const wait = this.expectedWait(arrived);
+    if (wait.isTooLong) {
+      this.refuse(arrived, 'too_late');
+      return;
+    }
+    const rivals = this.rivalsOf(arrived, ordered);
+    const latestStart = Math.max(...rivals.map(({terms}) => terms.lastStartAt));
+    const servable = (wait.queuePerSecond * (latestStart - now)) / 1000;
+    const last = rivals.at(-1);
+    if (last !== undefined && rivals.length > 1 + atMost(servable))
+      this.refuse(last, 'queue_full');
+  }
+
+  private expectedWait(entry: WaitingRequest) {
+    const now = this.now();
+    const candidates = this.candidatesOf(entry, new Map());
+    const rivals = this.rivalsOf(entry, this.queue.ordered(now));
+    const {lastStartAt} = entry.terms;
+    const ahead = Math.max(0, rivals.indexOf(entry));
+    const sooner = rivals.filter(
+      ({terms}, index) => index > ahead && terms.lastStartAt < lastStartAt,
+    );
+    const places = this.places.perSecond(
+      {
+        candidates,
+        expectedMilliseconds: entry.terms.expectedMilliseconds,
+        share: this.room.shareOf(candidates),
+        slotShare: this.options.slotShare(),
+      },
+      now,
+    );
+    const onTimeMilliseconds = (ahead * 1000) / places.onTimePerSecond;
+    const isOnTime = now + onTimeMilliseconds <= onTimeUntil(entry.terms);
+    const before = isOnTime ? ahead : ahead + sooner.length;
+    const placesPerSecond = isOnTime
+      ? places.onTimePerSecond
+      : places.latePerSecond;
+    const inTime = (placesPerSecond * Math.max(0, lastStartAt - now)) / 1000;
+    return {
+      candidates,
+      before,
+      placesPerSecond,
+      milliseconds: (before * 1000) / placesPerSecond,
+      queuePerSecond: places.onTimePerSecond,
+      isTooLong: before > atMost(inTime),
+    };
+  }
+
+  /** Waiting requests that can take a place of a request, in order; with itself. */
+  private rivalsOf(
+    entry: WaitingRequest,
+    ordered: readonly WaitingRequest[],
+  ): WaitingRequest[] {
+    const holders = new Map<string, readonly Endpoint[]>();
+    const wanted = new Set(this.candidatesOf(entry, holders));
+    return ordered.filter(
+      other =>
+        other === entry ||
+        this.candidatesOf(other, holders).some(endpoint =>
+          wanted.has(endpoint),
+        ),
+    );
+  }
+
+  private refuse(entry: WaitingRequest, reason: RefusalReason): void {
+    const {request} = entry.candidate;
+    const {terms, service, target} = entry;
+    const now = this.now();
+    const wait = this.expectedWait(entry);
+    const intervalMilliseconds = Math.max(1, 1000 / wait.placesPerSecond);
+    const remainingMilliseconds = terms.lastStartAt - now;
+    // The queue is then short enough for the time that this request had left.
+    const excess = wait.milliseconds - Math.max(0, remainingMilliseconds);
+    const retryAfterMilliseconds = this.returns.take(`${service} ${target}`, {
+      now,
+      roomAt: now + Math.max(intervalMilliseconds, excess),
+      latestAt: now + (request.deadlineAt - now) * RETURN_SHARE,
+      intervalMilliseconds,
+    });
+    this.log.refused({
+      requestId: request.metadata.requestId,
+      service,
+      target,
+      team: request.team,
+      priority: request.priority,
+      reason,
+      level: admissionLevel(terms, now),
+      occupancy:
+        wait.candidates.length === 0
+          ? undefined
+          : this.room.levelNeeded(wait.candidates),
+      ahead: wait.before,
+      waiting: this.queue.size,
+      placesPerSecond: wait.placesPerSecond,
+      expectedWaitMilliseconds: wait.milliseconds,
+      remainingMilliseconds,
+      retryAfterMilliseconds,
+    });
+    entry.settle({kind: 'refused', reason, retryAfterMilliseconds});
+  }
+
+  private expiryReason({terms, candidate}: WaitingRequest): RefusalReason {
+    const isHostStopping =
+      terms.lastStartAt === this.options.hostLimit(candidate.request);
+    return isHostStopping ? 'draining' : 'expired';
+  }
+
+  private recordEnd(entry: WaitingRequest, outcome: AdmissionOutcome): void {
+    const waited = this.now() - entry.since;
+    this.log.ended(outcomeLabel(outcome), entry.service, waited);
+    this.log.waiting(this.queue.size);
+  }
+
+  private candidatesOf(
+    {service, target, candidate}: WaitingRequest,
+    holders: Map<string, readonly Endpoint[]>,
+  ): readonly Endpoint[] {
+    const key = `${service} ${target}`;
+    const known = holders.get(key) ?? this.options.holders(service, target);
+    holders.set(key, known);
+    return known.filter(candidate.isAllowed);
+  }
+
+  private termsOf(request: RoutedRequest): AdmissionTerms {
+    return admissionTerms(
+      request,
+      this.options.expectedMilliseconds(request),
+      this.options.lastStartAt(request),
+    );
+  }
+
+  private now(): number {
+    return this.options.clock.monotonicMilliseconds();
+  }
+}
+
+/**
+ * Places that may become free when a number of them is expected. They come at random
+ * times, so that the number varies by about its root.
+ */
+function atMost(expected: number): number {
+  return expected + Math.sqrt(Math.max(0, expected));
+}
+
+function outcomeLabel(outcome: AdmissionOutcome): string {
+  switch (outcome.kind) {
+    case 'refused':
+      return `refused_${outcome.reason}`;
+    case 'admitted':
+    case 'no_candidate':
+    case 'aborted':
+      return outcome.kind;
+    default:
+      return unreachable(outcome);
+  }
+}
+
+function placeKind({terms, since}: WaitingRequest, now: number): PlaceKind {
+  if (isImmediate(terms, now)) return 'immediate';
+  return since < now && now <= onTimeUntil(terms) ? 'on_time' : 'other';
+}
--- a/src/engines/_refusal.ts
+++ b/src/engines/_refusal.ts
@@ -20,6 +20,14 @@
   );
 }
 
+/** Refuses a request whose time has ended before an engine could take it. */
+export function notInTime(target: string): Result<Endpoint, RequestError> {
+  return refusal(
+    REQUEST_ERROR_CODES.noReplica,
+    `No engine has loaded "${target}" in time`,
+  );
+}
+
 /**
  * Retry-After of requests for a service whose endpoints are all evacuated. Nobody knows
  * when the operator will cancel the evacuation; callers notice the end a second later.
--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -25,9 +25,20 @@
 } from '../relay/mod.ts';
 import type {EndpointLimits, PermitBroker} from '../permits/mod.ts';
 import type {Clock} from '../time/mod.ts';
+import {
+  type AdmissionRefusal,
+  OrderedAdmission,
+  type OrderedAdmissionOptions,
+} from '../admission/mod.ts';
 import {affinityKeyOf} from './_affinity_key_of.ts';
 import {LimitedEndpoints} from './_limited_endpoints.ts';
-import {modelNotFound, refusal, serviceEvacuated} from './_refusal.ts';
+import {
+  modelNotFound,
+  notInTime,
+  refusal,
+  serviceEvacuated,
+} from './_refusal.ts';
+import {WaitingRequests} from './_waiting_requests.ts';
 import type {EndpointBalancer} from './endpoint_balancer.ts';
 import type {ReplicaMap} from './replica_map.ts';
 
@@ -49,8 +60,19 @@
   service: (name: string) => ServiceConfiguration | undefined;
   /** Called when requests begin to wait for a target. */
   onDemandChanged: () => void;
+  /**
+   * Holds requests back while the engines that have their model are full. @default
+   * all are sent at once
+   */
+  admission?: RouterAdmissionOptions;
 }
 
+/** Options of the order of waiting requests. */
+export type RouterAdmissionOptions = Pick<
+  OrderedAdmissionOptions,
+  'evenShare' | 'hostId' | 'logger' | 'metrics' | 'slotShare'
+>;
+
 /**
  * Share of the caller's time-out that a request may spend waiting for a load.
  */
@@ -59,48 +81,41 @@
 /** Default delay that refused callers are told to wait before a retry. */
 const RETRY_AFTER_MILLISECONDS = 500;
 
-/**
- * Time after the end of its Retry-After for which a refused request still counts as
- * demand, since its caller is expected to retry.
- */
-const REFUSED_DEMAND_LIFETIME_MILLISECONDS = 2500;
-
-/** Share of the time left to a caller after which it retries at the latest. */
-const RETURN_SHARE = 1 / 3;
-
-interface RefusedDemand {
-  readonly request: RoutedRequest;
-  /** Monotonic time at which it stops to count as demand. */
-  readonly until: number;
-}
-
-interface Waiter {
-  readonly request: RoutedRequest;
-  readonly since: number;
-  readonly wake: () => void;
-}
-
 /**
  * Chooses endpoints for requests. Requests for a model that no engine has
  * loaded wait for a load.
  */
 export class EndpointRouter implements EndpointSource {
   private readonly limited: LimitedEndpoints;
-  private readonly waiters = new Map<string, Set<Waiter>>();
-  private readonly refused = new Map<string, RefusedDemand>();
+  private readonly waitingRequests: WaitingRequests;
+  private readonly admission: OrderedAdmission | undefined;
   private readonly arrivals = new Map<string, ArrivalCount>();
 
   constructor(private readonly options: EndpointRouterOptions) {
     this.limited = new LimitedEndpoints(options);
-    options.registry.onChange(() => this.recheckWaiting());
-    options.replicas.onChange(() => this.recheckWaiting());
+    this.waitingRequests = new WaitingRequests({
+      clock: options.clock,
+      holders: (service, target) => options.replicas.holders(service, target),
+      isOpen: endpoint => this.limited.isOpen(endpoint),
+      waitDeadline: request => this.waitDeadline(request),
+      onDemandChanged: options.onDemandChanged,
+    });
+    this.admission =
+      options.admission === undefined
+        ? undefined
+        : this.createAdmission(options.admission);
+    const onChange = () => {
+      this.waitingRequests.wakeAll();
+      this.admission?.enginesChanged();
+    };
+    options.registry.onChange(onChange);
+    options.replicas.onChange(onChange);
   }
 
   /** Makes waiting requests check whether they can be sent or still be served. */
   recheckWaiting(): void {
-    for (const waiters of this.waiters.values()) {
-      for (const waiter of waiters) waiter.wake();
-    }
+    this.waitingRequests.wakeAll();
+    this.admission?.recheck();
   }
 
   async acquire(
@@ -122,11 +137,33 @@
     // Endpoints that have no room for this request, and when there will be some.
     const returnAt = new Map<string, number>();
     for (;;) {
-      const candidates = this.candidates(service.name, target, isModelRequest);
-      const open = candidates.filter(
-        ({incarnation}) => !returnAt.has(incarnation),
-      );
-      const chosen = this.choose(open, request, excluded, preference);
+      const isOpen = ({incarnation}: Endpoint) => !returnAt.has(incarnation);
+      // A request that has failed at an endpoint had its turn, and is owed an answer if
+      // it has begun.
+      const outcome =
+        this.admission === undefined || !isModelRequest || excluded.size > 0
+          ? undefined
+          : await this.admission.waitForRoom({
+              request,
+              signal,
+              isAllowed: isOpen,
+              choose: (endpoints, drawn) =>
+                this.chooseDrawn(endpoints, drawn, request, preference),
+            });
+      if (outcome?.kind === 'refused')
+        return this.refuseWaiting(request, outcome);
+      if (outcome?.kind === 'aborted') return notInTime(target);
+      const chosen =
+        outcome?.kind === 'admitted'
+          ? outcome.endpoint
+          : this.choose(
+              this.candidates(service.name, target, isModelRequest).filter(
+                isOpen,
+              ),
+              request,
+              excluded,
+              preference,
+            );
       if (chosen !== undefined) {
         const waitsUntil = this.waitDeadline(request);
         const roomAt = await this.limited.roomAt(
@@ -134,10 +171,11 @@
           signal,
         );
         if (roomAt === undefined) {
-          this.refused.delete(`${service.name} ${target}`);
+          this.waitingRequests.recordServable(request);
           this.options.balancer?.recordSent(request, preference);
           return success(chosen);
         }
+        this.admission?.release(chosen);
         // Times of evacuated endpoints say nothing of when there will be room.
         if (this.isEvacuated(chosen)) returnAt.clear();
         else returnAt.set(chosen.incarnation, roomAt);
@@ -160,14 +198,9 @@
         this.refuseIfRemoved(request) ??
         this.refuseIfTooLate(request, target, roomAt);
       if (refused !== undefined) return refused;
-      await this.wait(request, target, signal);
+      await this.waitingRequests.wait(request, signal);
       returnAt.clear();
-      if (signal.aborted) {
-        return refusal(
-          REQUEST_ERROR_CODES.noReplica,
-          `No engine has loaded "${target}" in time`,
-        );
-      }
+      if (signal.aborted) return notInTime(target);
     }
   }
 
@@ -187,48 +220,17 @@
    * Targets that requests of this host wait for, or were refused for recently.
    */
   waiting(): readonly WaitingCount[] {
-    const now = this.options.clock.monotonicMilliseconds();
-    const refused = [...this.refused].flatMap(([key, {request, until}]) => {
-      if (now > until) this.refused.delete(key);
-      if (!this.refused.has(key) || this.waiters.has(key)) return [];
-      const target = targetOf(request.metadata);
-      const {service, priority} = request;
-      const holders = this.options.replicas.holders(service.name, target);
-      const isServable = holders.some(holder => this.limited.isOpen(holder));
-      // Nobody waits: age must not justify evictions or loads from the weight store.
-      const waitedMilliseconds = 0;
-      return [
-        {
-          service: service.name,
-          target,
-          requests: 1,
-          timely: 0,
-          priority,
-          isHeld: false,
-          isServable,
-          waitedMilliseconds,
-        },
-      ];
-    });
-    const waiting = [...this.waiters.values()].flatMap(waiters => {
-      const list = [...waiters];
-      const [first] = list;
-      if (first === undefined) return [];
-      const {service, metadata} = first.request;
-      return [
-        {
-          service: service.name,
-          target: targetOf(metadata),
-          requests: list.length,
-          timely: list.filter(({request}) => isTimely(request, now)).length,
-          priority: Math.min(...list.map(({request}) => request.priority)),
-          isHeld: true,
-          isServable: false,
-          waitedMilliseconds: now - Math.min(...list.map(({since}) => since)),
-        },
-      ];
-    });
-    return [...waiting, ...refused];
+    return [
+      ...this.waitingRequests.counts(),
+      ...(this.admission?.waiting() ?? []),
+    ];
+  }
+
+  /** Called when the counts of other hosts' requests have been updated. */
+  countsUpdated(): void {
+    if (this.admission === undefined) return;
+    this.waitingRequests.wakeServable();
+    this.admission.countsUpdated();
   }
 
   /** Requests for each model since the start of this host. */
@@ -273,6 +275,26 @@
       : balancer.choose(candidates, request, choice);
   }
 
+  /**
+   * Chooses the endpoint that keeps a session's prompt where that is worth its load, or
+   * else the one that was drawn, so that the hosts do not all choose the same one.
+   */
+  private chooseDrawn(
+    endpoints: readonly Endpoint[],
+    drawn: Endpoint,
+    request: RoutedRequest,
+    preference: EndpointPreference,
+  ): Endpoint | undefined {
+    const none = new Set<string>();
+    const preferred = this.choose(endpoints, request, none, preference);
+    if (this.options.balancer !== undefined) return preferred;
+    const cheapest = this.choose(endpoints, request, none, 'least_loaded');
+    const isAlone = (this.options.admission?.evenShare() ?? 1) >= 1;
+    return isAlone || preferred !== cheapest || this.limited.has(drawn)
+      ? preferred
+      : drawn;
+  }
+
   /**
    * Refuses a request for what the configuration has contained when it arrived
    * but no longer does: no host loads its model any more.
@@ -307,7 +329,7 @@
     target: string,
     roomAt: number,
   ): Result<Endpoint, RequestError> | undefined {
-    const {clock, replicas, onDemandChanged} = this.options;
+    const {clock, replicas} = this.options;
     const now = clock.monotonicMilliseconds();
     const deadline = this.waitDeadline(request);
     const service = request.service.name;
@@ -325,14 +347,7 @@
     const retryAfter = hasReplica
       ? Math.max(1, readyAt - now)
       : Math.max(RETRY_AFTER_MILLISECONDS, readyAt - now);
-    this.refused.set(`${service} ${target}`, {
-      request,
-      until:
-        now +
-        Math.min(retryAfter, (request.deadlineAt - now) * RETURN_SHARE) +
-        REFUSED_DEMAND_LIFETIME_MILLISECONDS,
-    });
-    onDemandChanged();
+    this.waitingRequests.recordRefused(request, retryAfter);
     return refusal(
       REQUEST_ERROR_CODES.noReplica,
       hasReplica
@@ -342,6 +357,44 @@
     );
   }
 
+  /** Refuses a request for which the engines have no room in its time. */
+  private refuseWaiting(
+    request: RoutedRequest,
+    {reason, retryAfterMilliseconds}: AdmissionRefusal,
+  ): Result<Endpoint, RequestError> {
+    if (reason === 'draining')
+      return failure(drainingError(REQUEST_STEPS.place));
+    this.waitingRequests.recordRefused(request, retryAfterMilliseconds);
+    return refusal(
+      REQUEST_ERROR_CODES.overloaded,
+      `The engines that have loaded "${targetOf(request.metadata)}" have no room within the caller's time-out`,
+      retryAfterMilliseconds,
+    );
+  }
+
+  private createAdmission(options: RouterAdmissionOptions): OrderedAdmission {
+    const {clock, dispatchWindow, registry} = this.options;
+    return new OrderedAdmission({
+      ...options,
+      clock,
+      registry,
+      holders: (service, target) => this.openHolders(service, target),
+      expectedMilliseconds: request => dispatchWindow.expected(request),
+      lastStartAt: request => this.waitDeadline(request),
+      hostLimit: request => dispatchWindow.hostLimit(request),
+    });
+  }
+
+  /** Engines that have a target and take requests; paused ones only without others. */
+  private openHolders(service: string, target: string): readonly Endpoint[] {
+    const now = this.options.clock.monotonicMilliseconds();
+    const open = this.candidates(service, target, true).filter(
+      endpoint => this.limited.closedUntil(endpoint) === undefined,
+    );
+    const available = open.filter(({condition}) => !condition.isPaused(now));
+    return available.length > 0 ? available : open;
+  }
+
   /** Monotonic time until which a request may wait for an endpoint. */
   private waitDeadline(request: RoutedRequest): number {
     const {dispatchWindow} = this.options;
@@ -352,43 +405,4 @@
       dispatchWindow.hostLimit(request),
     );
   }
-
-  private async wait(
-    request: RoutedRequest,
-    target: string,
-    signal: AbortSignal,
-  ): Promise<void> {
-    const {clock, onDemandChanged} = this.options;
-    const key = `${request.service.name} ${target}`;
-    const waiters = this.waiters.get(key) ?? new Set<Waiter>();
-    this.waiters.set(key, waiters);
-    const now = clock.monotonicMilliseconds();
-    await new Promise<void>(resolve => {
-      const finish = () => {
-        cancel();
-        signal.removeEventListener('abort', finish);
-        waiters.delete(waiter);
-        if (waiters.size === 0) this.waiters.delete(key);
-        resolve();
-      };
-      const waiter: Waiter = {request, since: request.arrivedAt, wake: finish};
-      const cancel = clock.startTimer(
-        Math.max(1, Math.min(this.waitDeadline(request) - now, 1000)),
-        finish,
-      );
-      signal.addEventListener('abort', finish, {once: true});
-      waiters.add(waiter);
-      if (waiters.size === 1) onDemandChanged();
-    });
-  }
-}
-
-/**
- * Whether a load from disk that starts now meets a request's latency objective.
- */
-function isTimely(request: RoutedRequest, now: number): boolean {
-  const {route, service, metadata, arrivedAt} = request;
-  const model = service.engines?.models.get(metadata.model ?? '');
-  const readyAt = now + (model?.diskLoadMilliseconds ?? 0);
-  return readyAt <= arrivedAt + route.objectiveMilliseconds;
 }
--- a/src/entry/_bind_requests.ts
+++ b/src/entry/_bind_requests.ts
@@ -48,6 +48,7 @@
 ): void {
   const {clock, logger, platform, settings} = context;
   const runDurations = new RunDurations(clock);
+  const shares = () => container.get(FleetShares);
   container
     .bind(DispatchWindow)
     .toConstantValue(new DispatchWindow(runDurations));
@@ -84,9 +85,21 @@
           container.get(FleetStateExchange).reportDemandSoon();
           container.get(PoolSupervisor).notify();
         },
+        ...(settings.admission === 'ordered'
+          ? {
+              admission: {
+                hostId: settings.hostId,
+                logger,
+                metrics: container.get(Metrics),
+                evenShare: () =>
+                  1 /
+                  Math.max(1, container.get(FleetTopology).activeHosts.length),
+                slotShare: () => shares().ofKnownSlots(),
+              },
+            }
+          : {}),
       }),
   );
-  const shares = () => container.get(FleetShares);
   container.bind(FleetRateLimiter).toDynamicValue(
     () =>
       new FleetRateLimiter({
--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -107,6 +107,12 @@
       windowSeconds: z.number().positive(),
     })
     .describe('Retries allowed over all hosts.'),
+  admission: z
+    .enum(['immediate', 'ordered'])
+    .optional()
+    .describe(
+      'When requests for loaded models are sent: `immediate` (at once) or `ordered` (while engines are full they wait in the hosts, the most urgent first). `immediate` unless the deployment calls for `ordered`.',
+    ),
   log: z
     .object({
       servedLinesPerSecond: z.number().int().positive().default(40),
@@ -122,5 +128,5 @@
 /** Settings that a deployment can call for without naming them. */
 export type EntryFeatures = Pick<
   EntrySettings,
-  'balancing' | 'handover' | 'replicaLoads'
+  'admission' | 'balancing' | 'handover' | 'replicaLoads'
 >;
--- a/src/platform/deployment_features.ts
+++ b/src/platform/deployment_features.ts
@@ -7,6 +7,7 @@
  */
 const FEATURES_BY_NAME: Readonly<Record<string, EntryFeatures>> = {
   pool: {balancing: 'even', handover: 'engine', replicaLoads: 'parallel'},
+  pressure: {admission: 'ordered'},
 };
 
 /**
--- a/src/platform/deployment_features_test.ts
+++ b/src/platform/deployment_features_test.ts
@@ -14,6 +14,15 @@
       replicaLoads: 'parallel',
     },
   },
+  {
+    names: ['pool', 'pressure'],
+    expected: {
+      admission: 'ordered',
+      balancing: 'even',
+      handover: 'engine',
+      replicaLoads: 'parallel',
+    },
+  },
 ])('a deployment with $names calls for $expected', ({names, expected}) => {
   expect(deploymentFeatures(names)).toEqual(expected);
 });
