Explain the placement of a request without an effect

Cause: nobody could ask a host which endpoint a request would get, or why it would wait; the decision existed only inside `EndpointRouter.acquire`, which counts, reserves and asks for permits.

Change: `EndpointRouter.explain` reports the outcome and all endpoints of the service with their costs. It uses the parts that decide: `rankEndpoints` and `chooseEndpoint`, the probabilities of `balanceEndpoints` (computed from the same shares), `OrderedAdmission.preview` and the refusals, which have moved out of the router to `_refusal.ts` and `_late_refusal.ts`. Rate, prompt parts and the creation of a routed request get forms without an effect. The fixture of `evacuated_requests_test.ts` has moved to `RoutedHost`; its cases are unchanged.

Result: `explain_placement_test.ts` (16 cases) compares each explanation with what `acquire` then does; `balancing_probabilities_test.ts` (5 cases) compares the probabilities with the choices on a grid of random numbers.

--- a/src/admission/mod.ts
+++ b/src/admission/mod.ts
@@ -21,12 +21,11 @@
   AdmissionRefusal,
   RefusalReason,
 } from './admission_outcome.ts';
+export type {AdmissionPreview, AdmissionState} from './admission_preview.ts';
 export {EventRate} from './event_rate.ts';
 export type {AdmissionCandidate} from './_waiting_request.ts';
-export {
-  OrderedAdmission,
-  type OrderedAdmissionOptions,
-} from './ordered_admission.ts';
+export {OrderedAdmission} from './ordered_admission.ts';
+export type {OrderedAdmissionOptions} from './ordered_admission_options.ts';
 export {
   PlaceEstimate,
   type PlaceInput,
--- a/src/admission/ordered_admission.ts
+++ b/src/admission/ordered_admission.ts
@@ -1,9 +1,8 @@
-import {unreachable} from '../errors/mod.ts';
-import type {Endpoint, EndpointRegistry, WaitingCount} from '../fleet/mod.ts';
-import type {EventLogger, Metrics} from '../observability/mod.ts';
+import type {Endpoint, WaitingCount} from '../fleet/mod.ts';
 import {type RoutedRequest, targetOf} from '../relay/mod.ts';
-import type {CancelTimer, Clock} from '../time/mod.ts';
+import type {CancelTimer} from '../time/mod.ts';
 import {AdmissionLog} from './_admission_log.ts';
+import {outcomeLabel} from './_outcome_label.ts';
 import {
   type AdmissionCandidate,
   admissionTerms,
@@ -19,32 +18,13 @@
   reachesLevelAt,
 } from './admission_level.ts';
 import type {AdmissionOutcome, RefusalReason} from './admission_outcome.ts';
+import type {AdmissionPreview} from './admission_preview.ts';
+import type {OrderedAdmissionOptions} from './ordered_admission_options.ts';
 import {PlaceEstimate, type PlaceKind} from './place_estimate.ts';
 import {RETURN_SHARE, ReturnSchedule} from './return_schedule.ts';
 import {RoomShare} from './room_share.ts';
 import {WaitingQueue} from './waiting_queue.ts';
 
-/** Options of {@link OrderedAdmission}. */
-export interface OrderedAdmissionOptions {
-  clock: Clock;
-  logger: EventLogger;
-  metrics: Metrics;
-  registry: Pick<EndpointRegistry, 'observe'>;
-  hostId: string;
-  /** Share of this host among those that send requests, 0 to 1. */
-  evenShare: () => number;
-  /** Share of the slots whose use this host knows of, 0 to 1. */
-  slotShare: () => number;
-  /** Engines that have a target and take requests now. */
-  holders: (service: string, target: string) => readonly Endpoint[];
-  /** Expected milliseconds of a run; 0 if that is not known. */
-  expectedMilliseconds: (request: RoutedRequest) => number;
-  /** Time until which a request may be sent. */
-  lastStartAt: (request: RoutedRequest) => number;
-  /** Time from which a request is left to other hosts; Infinity unless this host stops. */
-  hostLimit: (request: RoutedRequest) => number;
-}
-
 /**
  * Holds requests for loaded models back while the engines are full, and sends them in
  * an order that all hosts share, although each host decides alone: a request is sent
@@ -76,28 +56,20 @@
 
   /** Waits until a request may be sent to one of the engines that have its target. */
   waitForRoom(candidate: AdmissionCandidate): Promise<AdmissionOutcome> {
-    const {request, signal} = candidate;
+    const {signal} = candidate;
     if (signal.aborted) return Promise.resolve({kind: 'aborted'});
-    const target = targetOf(request.metadata);
-    const holders = this.options.holders(request.service.name, target);
-    if (!holders.some(candidate.isAllowed))
-      return Promise.resolve({kind: 'no_candidate'});
     return new Promise(resolve => {
       const abort = () => entry.settle({kind: 'aborted'});
-      const entry: WaitingRequest = {
-        candidate,
-        service: request.service.name,
-        team: request.team ?? '',
-        target,
-        terms: this.termsOf(request),
-        since: this.now(),
-        settle: outcome => {
-          if (!this.queue.delete(entry)) return;
-          signal.removeEventListener('abort', abort);
-          this.recordEnd(entry, outcome);
-          resolve(outcome);
-        },
-      };
+      const entry = this.createEntry(candidate, outcome => {
+        if (!this.queue.delete(entry)) return;
+        signal.removeEventListener('abort', abort);
+        this.recordEnd(entry, outcome);
+        resolve(outcome);
+      });
+      if (this.candidatesOf(entry, new Map()).length === 0) {
+        resolve({kind: 'no_candidate'});
+        return;
+      }
       signal.addEventListener('abort', abort, {once: true});
       this.queue.add(entry);
       this.admitWaiting();
@@ -106,6 +78,36 @@
     });
   }
 
+  /** What {@link waitForRoom} would decide now; nothing is reserved or recorded. */
+  preview(candidate: AdmissionCandidate): AdmissionPreview {
+    const entry = this.createEntry(candidate, () => undefined);
+    const candidates = this.candidatesOf(entry, new Map());
+    if (candidates.length === 0) return {kind: 'no_candidate'};
+    // Its place in the order depends on all entries; it leaves again before any other
+    // code runs.
+    this.queue.add(entry);
+    const wait = this.expectedWait(entry);
+    const excess = this.findExcess(entry);
+    this.queue.delete(entry);
+    const {below, level, hasRoom} = this.roomFor(entry, candidates);
+    const state = {
+      level,
+      levelNeeded: this.room.levelNeeded(candidates),
+      below,
+      ahead: wait.before,
+      expectedWaitMilliseconds: wait.milliseconds,
+    };
+    if (entry.terms.lastStartAt <= this.now())
+      return {...state, kind: 'refused', reason: this.expiryReason(entry)};
+    if (hasRoom) {
+      const drawShares = this.room.drawShares({candidates: below, level});
+      return {...state, kind: 'admitted', drawShares};
+    }
+    return excess?.entry === entry
+      ? {...state, kind: 'refused', reason: excess.reason}
+      : {...state, kind: 'waits'};
+  }
+
   /** Gives a slot back that was reserved for an admitted request. */
   release(endpoint: Endpoint): void {
     this.reservations.end(endpoint);
@@ -197,18 +199,10 @@
     candidates: readonly Endpoint[],
     replaceable: Endpoint | undefined,
   ): Endpoint | undefined {
-    const now = this.now();
-    const level = admissionLevel(entry.terms, now);
-    const below = this.room.below({candidates, level});
-    if (below.length === 0) return undefined;
+    const {below, level, hasRoom} = this.roomFor(entry, candidates);
     if (replaceable !== undefined && below.includes(replaceable))
       return replaceable;
-    const claim = {
-      candidates,
-      level,
-      isImmediate: isImmediate(entry.terms, now),
-    };
-    return this.room.allows(claim)
+    return hasRoom
       ? entry.candidate.choose(
           below,
           this.room.draw({candidates: below, level}),
@@ -216,25 +210,39 @@
       : undefined;
   }
 
+  private roomFor({terms}: WaitingRequest, candidates: readonly Endpoint[]) {
+    const now = this.now();
+    const level = admissionLevel(terms, now);
+    const below = this.room.below({candidates, level});
+    const claim = {candidates, level, isImmediate: isImmediate(terms, now)};
+    const hasRoom = below.length > 0 && this.room.allows(claim);
+    return {below, level, hasRoom};
+  }
+
   /**
    * Refuses a request that has arrived if its turn comes too late, or else the last
    * one of its engines if it has become one too many.
    */
   private refuseWhatIsTooMuch(arrived: WaitingRequest): void {
+    const excess = this.findExcess(arrived);
+    if (excess !== undefined) this.refuse(excess.entry, excess.reason);
+  }
+
+  private findExcess(
+    arrived: WaitingRequest,
+  ): {entry: WaitingRequest; reason: RefusalReason} | undefined {
     const now = this.now();
     const ordered = this.queue.ordered(now);
-    if (!ordered.includes(arrived)) return;
+    if (!ordered.includes(arrived)) return undefined;
     const wait = this.expectedWait(arrived);
-    if (wait.isTooLong) {
-      this.refuse(arrived, 'too_late');
-      return;
-    }
+    if (wait.isTooLong) return {entry: arrived, reason: 'too_late'};
     const rivals = this.rivalsOf(arrived, ordered);
     const latestStart = Math.max(...rivals.map(({terms}) => terms.lastStartAt));
     const servable = (wait.queuePerSecond * (latestStart - now)) / 1000;
     const last = rivals.at(-1);
-    if (last !== undefined && rivals.length > 1 + atMost(servable))
-      this.refuse(last, 'queue_full');
+    return last !== undefined && rivals.length > 1 + atMost(servable)
+      ? {entry: last, reason: 'queue_full'}
+      : undefined;
   }
 
   private expectedWait(entry: WaitingRequest) {
@@ -347,6 +355,22 @@
     return known.filter(candidate.isAllowed);
   }
 
+  private createEntry(
+    candidate: AdmissionCandidate,
+    settle: WaitingRequest['settle'],
+  ): WaitingRequest {
+    const {request} = candidate;
+    return {
+      candidate,
+      service: request.service.name,
+      team: request.team ?? '',
+      target: targetOf(request.metadata),
+      terms: this.termsOf(request),
+      since: this.now(),
+      settle,
+    };
+  }
+
   private termsOf(request: RoutedRequest): AdmissionTerms {
     return admissionTerms(
       request,
@@ -368,19 +392,6 @@
   return expected + Math.sqrt(Math.max(0, expected));
 }
 
-function outcomeLabel(outcome: AdmissionOutcome): string {
-  switch (outcome.kind) {
-    case 'refused':
-      return `refused_${outcome.reason}`;
-    case 'admitted':
-    case 'no_candidate':
-    case 'aborted':
-      return outcome.kind;
-    default:
-      return unreachable(outcome);
-  }
-}
-
 function placeKind({terms, since}: WaitingRequest, now: number): PlaceKind {
   if (isImmediate(terms, now)) return 'immediate';
   return since < now && now <= onTimeUntil(terms) ? 'on_time' : 'other';
--- a/src/admission/room_share.ts
+++ b/src/admission/room_share.ts
@@ -111,12 +111,7 @@
    * since hosts that all take the least occupied one fill it many times over.
    */
   draw({candidates, level}: Omit<RoomClaim, 'isImmediate'>): Endpoint {
-    const weights = candidates.map(endpoint => {
-      const {condition, record} = endpoint;
-      const free =
-        Math.max(1, level) - this.occupancy(endpoint) - condition.failureRate;
-      return Math.max(Number.EPSILON, free) * Math.max(1, record.slots);
-    });
+    const weights = this.weights({candidates, level});
     let left = weights.reduce((sum, weight) => sum + weight, 0);
     // Multiples of this fraction spread the requests of a host evenly.
     left *= (this.firstDraw + this.draws++ * GOLDEN_FRACTION) % 1;
@@ -129,6 +124,29 @@
     return chosen;
   }
 
+  /** Part of the draws that each of several candidates gets in the long run. */
+  drawShares(
+    claim: Omit<RoomClaim, 'isImmediate'>,
+  ): ReadonlyMap<Endpoint, number> {
+    const weights = this.weights(claim);
+    const sum = weights.reduce((total, weight) => total + weight, 0);
+    return new Map(
+      claim.candidates.map((endpoint, index) => [
+        endpoint,
+        (weights[index] ?? 0) / sum,
+      ]),
+    );
+  }
+
+  private weights({candidates, level}: Omit<RoomClaim, 'isImmediate'>) {
+    return candidates.map(endpoint => {
+      const {condition, record} = endpoint;
+      const free =
+        Math.max(1, level) - this.occupancy(endpoint) - condition.failureRate;
+      return Math.max(Number.EPSILON, free) * Math.max(1, record.slots);
+    });
+  }
+
   /**
    * Slots that are free below a level. What a lower level than 1 leaves free is kept
    * over all candidates together: the slots of a single engine are too few to tell
--- a/src/engines/_limited_endpoints.ts
+++ b/src/engines/_limited_endpoints.ts
@@ -97,10 +97,7 @@
     if (closedUntil !== undefined) return closedUntil;
     if (!this.has(endpoint)) return undefined;
     const {clock, permits, registry} = this.options;
-    const horizon = Math.min(
-      Math.max(SHORT_WAIT_MILLISECONDS, request.route.objectiveMilliseconds),
-      waitsUntil - clock.monotonicMilliseconds(),
-    );
+    const horizon = this.permitHorizon(request, waitsUntil);
     const permit = await permits.acquire(endpoint.incarnation, horizon);
     if (permit.kind === 'denied') return permit.returnAt;
     const delay = permit.at - clock.monotonicMilliseconds();
@@ -111,6 +108,14 @@
       : clock.monotonicMilliseconds();
   }
 
+  /** Longest milliseconds that a request waits for a permit. */
+  permitHorizon(request: RoutedRequest, waitsUntil: number): number {
+    return Math.min(
+      Math.max(SHORT_WAIT_MILLISECONDS, request.route.objectiveMilliseconds),
+      waitsUntil - this.options.clock.monotonicMilliseconds(),
+    );
+  }
+
   /** Ends early once the endpoint is evacuated, so that another one is chosen. */
   private async waitForPermit(
     endpoint: Endpoint,
--- a/src/engines/endpoint_balancer.ts
+++ b/src/engines/endpoint_balancer.ts
@@ -1,6 +1,8 @@
 import {
   balanceEndpoints,
   type BalancedChoice,
+  type BalanceEndpointsOptions,
+  balancingProbabilities,
   type ChooseEndpointOptions,
   type Endpoint,
   type UnobservedRequests,
@@ -57,31 +59,35 @@
     request: RoutedRequest,
     options: ChooseEndpointOptions,
   ): Endpoint | undefined {
-    const {unobserved, localShare, metrics, random} = this.options;
-    const {affinityKey} = options;
-    const peerRequests = candidates.reduce(
-      (sum, {peerInFlight}) => sum + peerInFlight,
-      0,
-    );
-    const expected = unobserved.of(targetKeyOf(request), peerRequests);
-    const choice = balanceEndpoints(candidates, {
-      ...options,
-      unobserved: expected,
-      unobservedOfKey:
-        affinityKey === undefined ? 0 : unobserved.of(sessionKey(affinityKey)),
-      localShare: localShare(),
-      random,
-    });
+    const {metrics, random} = this.options;
+    const estimate = this.estimate(candidates, request, options);
+    const choice = balanceEndpoints(candidates, {...estimate, random});
     if (choice === undefined) return undefined;
     const {endpoint, outcome, meanOccupancy} = choice;
     const excess = endpoint.occupancy - meanOccupancy;
     metrics.increment(CHOICES_METRIC, {outcome});
     metrics.recordValue(EXCESS_METRIC, excess, EXCESS_BUCKETS);
-    metrics.recordValue(UNOBSERVED_METRIC, expected, UNOBSERVED_BUCKETS);
+    metrics.recordValue(
+      UNOBSERVED_METRIC,
+      estimate.unobserved,
+      UNOBSERVED_BUCKETS,
+    );
     this.logIfUneven(choice, candidates.length, options.now);
     return endpoint;
   }
 
+  /** Probability with which {@link choose} chooses each endpoint; records nothing. */
+  probabilities(
+    candidates: readonly Endpoint[],
+    request: RoutedRequest,
+    options: ChooseEndpointOptions,
+  ): ReadonlyMap<Endpoint, number> {
+    return balancingProbabilities(
+      candidates,
+      this.estimate(candidates, request, options),
+    );
+  }
+
   /** Records that a request is being sent to the endpoint chosen for it. */
   recordSent(request: RoutedRequest, preference: EndpointPreference): void {
     const {unobserved} = this.options;
@@ -90,6 +96,27 @@
     if (affinityKey !== undefined) unobserved.record(sessionKey(affinityKey));
   }
 
+  /** Adds what is expected of the other hosts. */
+  private estimate(
+    candidates: readonly Endpoint[],
+    request: RoutedRequest,
+    options: ChooseEndpointOptions,
+  ): Omit<BalanceEndpointsOptions, 'random'> {
+    const {unobserved, localShare} = this.options;
+    const {affinityKey} = options;
+    const peerRequests = candidates.reduce(
+      (sum, {peerInFlight}) => sum + peerInFlight,
+      0,
+    );
+    return {
+      ...options,
+      unobserved: unobserved.of(targetKeyOf(request), peerRequests),
+      unobservedOfKey:
+        affinityKey === undefined ? 0 : unobserved.of(sessionKey(affinityKey)),
+      localShare: localShare(),
+    };
+  }
+
   private logIfUneven(
     {busiest, meanOccupancy}: BalancedChoice,
     candidates: number,
--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -10,6 +10,7 @@
 import {
   type ArrivalCount,
   chooseEndpoint,
+  type ChooseEndpointOptions,
   type Endpoint,
   type EndpointRegistry,
   type WaitingCount,
@@ -34,12 +35,17 @@
 import {LimitedEndpoints} from './_limited_endpoints.ts';
 import {
   modelNotFound,
+  noEndpoint,
+  noRoomInTime,
   notInTime,
-  refusal,
+  removedRefusal,
   serviceEvacuated,
 } from './_refusal.ts';
+import {lateRefusal} from './_late_refusal.ts';
 import {WaitingRequests} from './_waiting_requests.ts';
 import type {EndpointBalancer} from './endpoint_balancer.ts';
+import {explainPlacement} from './explain_placement.ts';
+import type {PlacementExplanation} from './placement_explanation.ts';
 import type {ReplicaMap} from './replica_map.ts';
 
 /** Options of {@link EndpointRouter}. */
@@ -78,9 +84,6 @@
  */
 const MAXIMUM_WAIT_SHARE = 0.92;
 
-/** Default delay that refused callers are told to wait before a retry. */
-const RETRY_AFTER_MILLISECONDS = 500;
-
 /**
  * Chooses endpoints for requests. Requests for a model that no engine has
  * loaded wait for a load.
@@ -186,16 +189,10 @@
       const roomAt = Math.min(...returnAt.values());
       if (!isModelRequest) {
         const now = this.options.clock.monotonicMilliseconds();
-        return refusal(
-          REQUEST_ERROR_CODES.overloaded,
-          `No endpoint of "${service.name}" can be used`,
-          Number.isFinite(roomAt)
-            ? Math.max(1, roomAt - now)
-            : RETRY_AFTER_MILLISECONDS,
-        );
+        return noEndpoint(service.name, roomAt - now);
       }
       const refused =
-        this.refuseIfRemoved(request) ??
+        removedRefusal(request, this.options.service(service.name)) ??
         this.refuseIfTooLate(request, target, roomAt);
       if (refused !== undefined) return refused;
       await this.waitingRequests.wait(request, signal);
@@ -204,6 +201,24 @@
     }
   }
 
+  /** What {@link acquire} would decide now; nothing is sent, counted or reserved. */
+  explain(
+    request: RoutedRequest,
+    preference: EndpointPreference,
+  ): PlacementExplanation {
+    return explainPlacement(request, {
+      ...this.options,
+      limited: this.limited,
+      orderedAdmission: this.admission,
+      choice: this.choiceOf(request, new Set(), preference),
+      waitDeadline: this.waitDeadline(request),
+      chooseDrawn: (endpoints, drawn) =>
+        this.chooseDrawn(endpoints, drawn, request, preference),
+      findTooLate: (target, roomAt) =>
+        this.findTooLate(request, target, roomAt),
+    });
+  }
+
   isEvacuated({record}: Endpoint): boolean {
     return this.options.registry.isEvacuated(record);
   }
@@ -261,18 +276,26 @@
     excluded: ReadonlySet<string>,
     preference: EndpointPreference,
   ): Endpoint | undefined {
+    const choice = this.choiceOf(request, excluded, preference);
+    const {balancer} = this.options;
+    return balancer === undefined
+      ? chooseEndpoint(candidates, choice)
+      : balancer.choose(candidates, request, choice);
+  }
+
+  private choiceOf(
+    request: RoutedRequest,
+    excluded: ReadonlySet<string>,
+    preference: EndpointPreference,
+  ): ChooseEndpointOptions {
     const affinityKey = affinityKeyOf(request, preference);
-    const choice = {
+    return {
       now: this.options.clock.monotonicMilliseconds(),
       excluded,
       dataCentre: this.options.dataCentre,
-      isLimited: (endpoint: Endpoint) => this.limited.has(endpoint),
+      isLimited: endpoint => this.limited.has(endpoint),
       ...(affinityKey === undefined ? {} : {affinityKey}),
     };
-    const {balancer} = this.options;
-    return balancer === undefined
-      ? chooseEndpoint(candidates, choice)
-      : balancer.choose(candidates, request, choice);
   }
 
   /**
@@ -295,27 +318,6 @@
       : drawn;
   }
 
-  /**
-   * Refuses a request for what the configuration has contained when it arrived
-   * but no longer does: no host loads its model any more.
-   */
-  private refuseIfRemoved({
-    service: {name},
-    metadata: {model = ''},
-  }: RoutedRequest): Result<Endpoint, RequestError> | undefined {
-    const service = this.options.service(name);
-    if (service === undefined) {
-      return refusal(
-        REQUEST_ERROR_CODES.noReplica,
-        `Service "${name}" is no longer configured`,
-        RETRY_AFTER_MILLISECONDS,
-      );
-    }
-    return service.engines?.models.has(model) === true
-      ? undefined
-      : modelNotFound(name, model);
-  }
-
   /**
    * Refuses a request whose model cannot be loaded before its caller times out or
    * this host stops: at once if the manager of the pool already knows it. Of a model
@@ -329,32 +331,31 @@
     target: string,
     roomAt: number,
   ): Result<Endpoint, RequestError> | undefined {
-    const {clock, replicas} = this.options;
-    const now = clock.monotonicMilliseconds();
-    const deadline = this.waitDeadline(request);
+    const error = this.findTooLate(request, target, roomAt);
+    if (error === undefined) return undefined;
+    if (error.code !== REQUEST_ERROR_CODES.draining) {
+      const {retryAfterMilliseconds = 0} = error;
+      this.waitingRequests.recordRefused(request, retryAfterMilliseconds);
+    }
+    return failure(error);
+  }
+
+  private findTooLate(
+    request: RoutedRequest,
+    target: string,
+    roomAt: number,
+  ): RequestError | undefined {
+    const {clock, dispatchWindow, replicas} = this.options;
     const service = request.service.name;
     const model = request.metadata.model ?? target;
-    const hasReplica = Number.isFinite(roomAt);
-    const expectedAt = replicas.expectedAt(service, model);
-    const readyAt = hasReplica
-      ? Math.min(expectedAt ?? Infinity, roomAt)
-      : (expectedAt ?? replicas.remoteReadyAt(service, model) ?? now);
-    const isAwaitable = !hasReplica || expectedAt !== undefined;
-    if (now < deadline && readyAt < deadline && isAwaitable) return undefined;
-    if (deadline === this.options.dispatchWindow.hostLimit(request)) {
-      return failure(drainingError(REQUEST_STEPS.place));
-    }
-    const retryAfter = hasReplica
-      ? Math.max(1, readyAt - now)
-      : Math.max(RETRY_AFTER_MILLISECONDS, readyAt - now);
-    this.waitingRequests.recordRefused(request, retryAfter);
-    return refusal(
-      REQUEST_ERROR_CODES.noReplica,
-      hasReplica
-        ? `The engines that have loaded "${target}" take no more requests now`
-        : `No engine can load "${target}" within the caller's time-out`,
-      retryAfter,
-    );
+    return lateRefusal(target, {
+      now: clock.monotonicMilliseconds(),
+      deadline: this.waitDeadline(request),
+      hostLimit: dispatchWindow.hostLimit(request),
+      roomAt,
+      expectedAt: replicas.expectedAt(service, model),
+      remoteReadyAt: replicas.remoteReadyAt(service, model),
+    });
   }
 
   /** Refuses a request for which the engines have no room in its time. */
@@ -365,11 +366,7 @@
     if (reason === 'draining')
       return failure(drainingError(REQUEST_STEPS.place));
     this.waitingRequests.recordRefused(request, retryAfterMilliseconds);
-    return refusal(
-      REQUEST_ERROR_CODES.overloaded,
-      `The engines that have loaded "${targetOf(request.metadata)}" have no room within the caller's time-out`,
-      retryAfterMilliseconds,
-    );
+    return noRoomInTime(targetOf(request.metadata), retryAfterMilliseconds);
   }
 
   private createAdmission(options: RouterAdmissionOptions): OrderedAdmission {
--- a/src/engines/evacuated_requests_test.ts
+++ b/src/engines/evacuated_requests_test.ts
@@ -1,13 +1,6 @@
 import {expect, test} from 'vitest';
-import {EndpointRegistry} from '../fleet/mod.ts';
-import {SILENT_LOGGER} from '../observability/mod.ts';
 import {engineRecord} from '../testing/managed_pool.ts';
-import {ManualClock} from '../testing/manual_clock.ts';
-import {
-  createRouter,
-  requestFor,
-  serviceWith,
-} from '../testing/routed_requests.ts';
+import {RoutedHost} from '../testing/routed_requests.ts';
 
 const MODEL = {name: 'model-a', version: 1, adapters: []};
 const ENGINES = [
@@ -17,19 +10,9 @@
 
 /** A host with an engine in each of two data centres; the first one has the model. */
 function create() {
-  const clock = new ManualClock();
-  const registry = new EndpointRegistry({
-    clock,
-    logger: SILENT_LOGGER,
-    maximumConnections: () => 1,
-    storeRegainedAt: () => Number.NEGATIVE_INFINITY,
-  });
-  registry.applySnapshot(new Map(ENGINES.map(record => [record.id, record])));
-  const service = serviceWith(['model-a']);
-  const host = createRouter({clock, registry, service: () => service});
-  let sequence = 0;
+  const host = new RoutedHost(ENGINES);
   return {
-    clock,
+    clock: host.clock,
     limits: host.limits,
     /**
      * Sends a request.
@@ -38,34 +21,14 @@
      */
     send: () => {
       let outcome: unknown;
-      void host.router
-        .acquire(
-          requestFor(service, 0),
-          new Set(),
-          new AbortController().signal,
-          'affinity',
-        )
-        .then(result => {
-          outcome = result.ok ? result.value.record.id : result.error;
-        });
+      void host.acquire().then(result => {
+        outcome = result.ok ? result.value.record.id : result.error;
+      });
       return () => outcome;
     },
-    evacuate: (...zones: string[]) => registry.setEvacuated(new Set(zones)),
-    /** Announces the models of the engines as their manager does. */
+    evacuate: (...zones: string[]) => host.evacuate(...zones),
     announce: (models: Record<string, string[]>, readyIn?: number) =>
-      host.replicas.receive({
-        ...{service: 'engines', epoch: 1, announcer: 'host-2'},
-        sequence: ++sequence,
-        engines: Object.entries(models).map(([endpoint, targets]) => ({
-          ...{endpoint, startedAt: 1, targets},
-        })),
-        expected:
-          readyIn === undefined
-            ? []
-            : [{target: 'model-a', readyInMilliseconds: readyIn}],
-        unexpected: [],
-        remoteOnly: {added: [], removed: [], readyInMilliseconds: 0},
-      }),
+      host.announce(models, readyIn),
   };
 }
 
--- a/src/engines/mod.ts
+++ b/src/engines/mod.ts
@@ -37,6 +37,14 @@
 } from './forecast_loads.ts';
 export {loadBenefit} from './load_benefit.ts';
 export type {LoadTier} from './load_tier.ts';
+export {
+  type AdmissionFigures,
+  type EndpointExplanation,
+  EXCLUSION_REASONS,
+  type ExclusionReason,
+  type PlacementExplanation,
+  type PlacementOutcome,
+} from './placement_explanation.ts';
 export type {ModelDemand} from './model_demand.ts';
 export {type PlacementInput, planPlacement} from './plan_placement.ts';
 export type {EngineSnapshot} from './engine_snapshot.ts';
--- a/src/engines/replica_map.ts
+++ b/src/engines/replica_map.ts
@@ -158,10 +158,9 @@
 
   /** Usable engines that have a target loaded. */
   holders(service: string, target: string): readonly Endpoint[] {
-    const now = this.now();
     return this.options.registry
       .usable(service)
-      .filter(endpoint => this.holds(endpoint, target, now));
+      .filter(endpoint => this.holds(endpoint, target));
   }
 
   /** Monotonic time at which a replica of a target is expected to be ready. */
@@ -187,10 +186,15 @@
     );
   }
 
-  private holds(endpoint: Endpoint, target: string, now: number): boolean {
+  /** Whether an engine gets no requests for a target, since it refused one just now. */
+  hasRefused({record}: Endpoint, target: string): boolean {
+    const until = this.refusedUntil.get(`${record.id} ${target}`);
+    return until !== undefined && this.now() < until;
+  }
+
+  private holds(endpoint: Endpoint, target: string): boolean {
     const {record} = endpoint;
-    const refused = this.refusedUntil.get(`${record.id} ${target}`);
-    if (refused !== undefined && now < refused) return false;
+    if (this.hasRefused(endpoint, target)) return false;
     const known = this.announced.get(record.id);
     const pool = this.pools.get(record.service);
     if (
--- a/src/fleet/balance_endpoints.ts
+++ b/src/fleet/balance_endpoints.ts
@@ -71,6 +71,33 @@
   return {...choice, busiest, meanOccupancy: sum / ranked.length};
 }
 
+/**
+ * Returns the probability with which {@link balanceEndpoints} chooses each endpoint;
+ * those that it does not choose are left out.
+ */
+export function balancingProbabilities(
+  endpoints: readonly Endpoint[],
+  options: Omit<BalanceEndpointsOptions, 'random'>,
+): ReadonlyMap<Endpoint, number> {
+  const ranked = rankEndpoints(endpoints, options);
+  if (ranked.length === 0) return new Map();
+  const level = levelOf(ranked, options.unobserved);
+  const preferred = chooseByAffinity(ranked, level, options);
+  if (preferred !== undefined) return new Map([[preferred.endpoint, 1]]);
+  const {local, remote, localPart} = sharesBelow(ranked, level, options);
+  const localProbability =
+    local.length === 0 ? 0 : Math.min(1, localPart / options.localShare);
+  const probabilities = new Map<Endpoint, number>();
+  for (const [shares, probability] of [
+    [local, localProbability],
+    [remote, 1 - localProbability],
+  ] as const) {
+    for (const {endpoint, requests} of shares)
+      probabilities.set(endpoint, (probability * requests) / sumOf(shares));
+  }
+  return probabilities;
+}
+
 /** Cost that the cheapest endpoints reach when they get a number of requests. */
 function levelOf(ranked: readonly RankedEndpoint[], requests: number): number {
   let slots = 0;
@@ -93,7 +120,10 @@
 function chooseByAffinity(
   ranked: readonly RankedEndpoint[],
   level: number,
-  {affinityKey, unobservedOfKey}: BalanceEndpointsOptions,
+  {
+    affinityKey,
+    unobservedOfKey,
+  }: Pick<BalanceEndpointsOptions, 'affinityKey' | 'unobservedOfKey'>,
 ): Pick<BalancedChoice, 'endpoint' | 'outcome'> | undefined {
   if (affinityKey === undefined) return undefined;
   const preferred = preferredByAffinity(ranked, affinityKey);
@@ -111,7 +141,21 @@
   level: number,
   options: BalanceEndpointsOptions,
 ): Pick<BalancedChoice, 'endpoint' | 'outcome'> {
-  const {dataCentre, localShare, random} = options;
+  const {localShare, random} = options;
+  const {local, remote, localPart} = sharesBelow(ranked, level, options);
+  const isLocal = local.length > 0 && random() * localShare < localPart;
+  return {
+    endpoint: pick(isLocal ? local : remote, random()),
+    outcome: isLocal ? 'local' : 'spread',
+  };
+}
+
+/** Shares of the endpoints below the common level, by locality. */
+function sharesBelow(
+  ranked: readonly RankedEndpoint[],
+  level: number,
+  {dataCentre}: Pick<BalanceEndpointsOptions, 'dataCentre'>,
+) {
   const shares = ranked
     .filter(({cost}) => cost <= level + EQUAL_COST)
     .map(({endpoint, cost}) => ({
@@ -124,12 +168,8 @@
   // If the hosts of each data centre prefer its endpoints with this probability, each
   // data centre gets the same requests as without a preference.
   const localPart = sumOf(local) / sumOf(shares);
-  const isLocal = local.length > 0 && random() * localShare < localPart;
   const remote = shares.filter(share => !isInDataCentre(share));
-  return {
-    endpoint: pick(isLocal ? local : remote, random()),
-    outcome: isLocal ? 'local' : 'spread',
-  };
+  return {local, remote, localPart};
 }
 
 /** Picks one of at least one endpoint in proportion to their shares. */
--- a/src/fleet/endpoint_condition.ts
+++ b/src/fleet/endpoint_condition.ts
@@ -37,6 +37,11 @@
     return now < this.pausedUntil;
   }
 
+  /** Milliseconds after `now` at which the pause after failures ends; 0 if there is none. */
+  pauseLeft(now: number): number {
+    return Math.max(0, this.pausedUntil - now);
+  }
+
   /** Monotonic time until which the endpoint wants no requests of this host. */
   get closedUntil(): number {
     return this.refusesUntil;
--- a/src/fleet/endpoint_registry.ts
+++ b/src/fleet/endpoint_registry.ts
@@ -50,6 +50,11 @@
     );
   }
 
+  /** Whether a process is known to leave, so that it gets no new requests. */
+  isLeaving({incarnation}: Pick<Endpoint, 'incarnation'>): boolean {
+    return this.leaving.has(incarnation);
+  }
+
   /** Whether nothing may be sent to an endpoint, since its data centre is evacuated. */
   isEvacuated({dataCentre}: Pick<EndpointRecord, 'dataCentre'>): boolean {
     return this.evacuated.has(dataCentre);
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -66,9 +66,14 @@
   StateTracker,
   type StateTrackerOptions,
 } from './state_tracker.ts';
-export {chooseEndpoint, type ChooseEndpointOptions} from './choose_endpoint.ts';
+export {
+  chooseEndpoint,
+  type ChooseEndpointOptions,
+  rankEndpoints,
+} from './choose_endpoint.ts';
 export {
   balanceEndpoints,
+  balancingProbabilities,
   type BalancedChoice,
   type BalanceEndpointsOptions,
   type BalancingOutcome,
--- a/src/limits/fleet_rate_limiter.ts
+++ b/src/limits/fleet_rate_limiter.ts
@@ -64,18 +64,24 @@
    *   bucket can cover it.
    */
   take(team: TeamConfiguration, cost: number): number {
+    if (team.ratePerSecond <= 0) return 0;
+    const wait = this.shortfall(team, cost);
+    if (wait > 0) return wait;
+    this.refill(team).level -= cost;
+    this.spent.set(team.name, (this.spent.get(team.name) ?? 0) + cost);
+    return 0;
+  }
+
+  /** What {@link take} would return; takes nothing. */
+  shortfall(team: TeamConfiguration, cost: number): number {
     if (team.ratePerSecond <= 0) return 0;
     const bucket = this.refill(team);
     // A full bucket admits a request that costs more than the burst.
     const needed = Math.min(cost, team.burst);
-    if (bucket.level < needed) {
-      const rate = team.ratePerSecond * this.options.rateShare();
-      const wait = ((needed - bucket.level) / rate) * 1000;
-      return Math.min(MAXIMUM_WAIT_MILLISECONDS, Math.max(1, wait));
-    }
-    bucket.level -= cost;
-    this.spent.set(team.name, (this.spent.get(team.name) ?? 0) + cost);
-    return 0;
+    if (bucket.level >= needed) return 0;
+    const rate = team.ratePerSecond * this.options.rateShare();
+    const wait = ((needed - bucket.level) / rate) * 1000;
+    return Math.min(MAXIMUM_WAIT_MILLISECONDS, Math.max(1, wait));
   }
 
   /** Returns the spending of this host, to be reported to the other hosts. */
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -13,7 +13,7 @@
 import {EventSplitter} from './_event_splitter.ts';
 import {failureCode} from './_failure_code.ts';
 import {findMismatch} from './_find_mismatch.ts';
-import {findTooLate} from './_find_too_late.ts';
+import {findTooLate} from './find_too_late.ts';
 import {
   HOLD_SHARE,
   MAXIMUM_DISPATCHES,
--- a/src/relay/mod.ts
+++ b/src/relay/mod.ts
@@ -28,6 +28,9 @@
   RetryBudget,
 } from './relay_options.ts';
 export {drainingError} from './draining_error.ts';
+export {createRoutedRequest, type Sender} from './create_routed_request.ts';
+export {findTooLate} from './find_too_late.ts';
+export {rateRefusal} from './rate_refusal.ts';
 export {RequestRelay} from './request_relay.ts';
 export type {PromptPart, RequestMetadata} from './request_metadata.ts';
 export {CrashTracker, type CrashTrackerOptions} from './crash_tracker.ts';
--- a/src/relay/prompt_part_quarantine.ts
+++ b/src/relay/prompt_part_quarantine.ts
@@ -94,6 +94,14 @@
     }
   }
 
+  /** What {@link waitForTurn} would do now; `held` while another run tests a part. */
+  preview(request: RoutedRequest): PromptPartTurn | {readonly kind: 'held'} {
+    const {blocked, suspects, isTested} = this.examine(request);
+    if (blocked !== undefined) return blockedRefusal(blocked, this.now());
+    if (suspects.length === 0) return {kind: 'unrestricted'};
+    return {kind: isTested ? 'held' : 'trial'};
+  }
+
   async begin(
     {request, endpoint, holdUntil}: RunCandidate,
     signal: AbortSignal,
--- a/src/relay/request_relay.ts
+++ b/src/relay/request_relay.ts
@@ -1,20 +1,11 @@
 import {createHash} from 'node:crypto';
 import {setMaxListeners} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {
-  pickService,
-  type Route,
-  type RouteIndex,
-  type ServiceConfiguration,
-  type TeamConfiguration,
-} from '../deployment/mod.ts';
+import {pickService, type Route, type RouteIndex} from '../deployment/mod.ts';
 import {
   REQUEST_ERROR_CODES,
   REQUEST_STEPS,
   type RequestError,
-  type RequestErrorCode,
-  type RequestStep,
-  RUN_STATES,
 } from '../errors/mod.ts';
 import {breakOff} from '../exchange/mod.ts';
 import type {ByteReservation} from '../bytes/mod.ts';
@@ -22,6 +13,9 @@
 
 import {connectionHeader} from './_connection_header.ts';
 import {drainingError} from './draining_error.ts';
+import {notRunError} from './_not_run_error.ts';
+import {createRoutedRequest, type Sender} from './create_routed_request.ts';
+import {rateRefusal} from './rate_refusal.ts';
 import {readBody} from './_read_body.ts';
 import {RequestLog} from './_request_log.ts';
 import type {RoutedRequest} from './endpoint_source.ts';
@@ -228,34 +222,15 @@
     const {metadata, arrivedAt} = context;
     const sender = this.identify(request, index, context);
     if ('code' in sender) return sender;
-    const {route, service, team} = sender;
-    if (team !== undefined) {
-      const cost =
-        team.unit === 'tokens' ? (metadata.tokens ?? team.defaultTokens) : 1;
-      const wait = this.options.rateLimiter.take(team, cost);
-      if (wait > 0) {
-        return notRunError(
-          REQUEST_ERROR_CODES.rateLimited,
-          REQUEST_STEPS.admit,
-          `Team "${team.name}" is over its rate; the request costs ${cost}`,
-          wait,
-        );
-      }
-    }
-    return {
-      metadata,
-      route,
-      service,
-      team: team?.name,
-      priority: Math.min(9, Math.max(0, team?.priority ?? route.priority)),
-      arrivedAt,
-      deadlineAt:
-        arrivedAt +
-        Math.min(
-          route.timeoutMilliseconds,
-          metadata.deadlineMilliseconds ?? route.timeoutMilliseconds,
-        ),
-    };
+    const {team} = sender;
+    const {rateLimiter} = this.options;
+    const refused =
+      team === undefined
+        ? undefined
+        : rateRefusal(team, metadata, (payer, cost) =>
+            rateLimiter.take(payer, cost),
+          );
+    return refused ?? createRoutedRequest(sender, metadata, arrivedAt);
   }
 
   private findService(index: RouteIndex, route: Route) {
@@ -310,14 +285,6 @@
   readonly reservation: (holder: string) => ByteReservation;
 }
 
-/** Who sends a request, and where it goes. */
-interface Sender {
-  readonly route: Route;
-  readonly service: ServiceConfiguration;
-  /** Undefined on open routes. */
-  readonly team: TeamConfiguration | undefined;
-}
-
 /** Name under which the bytes of a request's body are counted. */
 function holderOf({team}: Sender, request: IncomingMessage): string {
   return team === undefined
@@ -333,21 +300,6 @@
   );
 }
 
-function notRunError(
-  code: RequestErrorCode,
-  step: RequestStep,
-  message: string,
-  retryAfterMilliseconds?: number,
-): RequestError {
-  return {
-    code,
-    step,
-    message,
-    run: RUN_STATES.notRun,
-    ...(retryAfterMilliseconds === undefined ? {} : {retryAfterMilliseconds}),
-  };
-}
-
 /** Hash that is equal for retries of a request: same team, method, path and body. */
 function fingerprint(
   routed: RoutedRequest,
--- a/src/testing/routed_requests.ts
+++ b/src/testing/routed_requests.ts
@@ -1,6 +1,10 @@
-import type {ServiceConfiguration} from '../deployment/mod.ts';
-import {EndpointRouter, ReplicaMap} from '../engines/mod.ts';
-import type {EndpointRegistry} from '../fleet/mod.ts';
+import type {EndpointRecord, ServiceConfiguration} from '../deployment/mod.ts';
+import {
+  EndpointRouter,
+  type EndpointRouterOptions,
+  ReplicaMap,
+} from '../engines/mod.ts';
+import {type Endpoint, EndpointRegistry} from '../fleet/mod.ts';
 import {SILENT_LOGGER} from '../observability/mod.ts';
 import {EndpointLimits, PermitBroker} from '../permits/mod.ts';
 import {
@@ -9,6 +13,7 @@
   RunDurations,
 } from '../relay/mod.ts';
 import type {Clock} from '../time/mod.ts';
+import {ManualClock} from './manual_clock.ts';
 
 const CALLER_TIMEOUT_MILLISECONDS = 20_000;
 
@@ -84,10 +89,13 @@
   registry: EndpointRegistry;
   /** Returns a service of the current configuration. */
   service: (name: string) => ServiceConfiguration | undefined;
+  /** Features of the router beside the default ones. */
+  features?: Pick<EndpointRouterOptions, 'admission' | 'balancer'> | undefined;
 }
 
 /** Router of the only host of a deployment. */
-export function createRouter({clock, registry, service}: RouterOptions) {
+export function createRouter(options: RouterOptions) {
+  const {clock, registry, service, features} = options;
   const limits = new EndpointLimits({
     clock,
     logger: SILENT_LOGGER,
@@ -119,6 +127,90 @@
     announceLeaving: () => undefined,
     service,
     onDemandChanged: () => undefined,
+    ...features,
   });
   return {router, replicas, limits};
 }
+
+/** Features of the router of {@link RoutedHost}, beside the default ones. */
+export type RoutedFeatures = (clock: Clock) => RouterOptions['features'];
+
+/** Only host of a deployment with engines, and a request for `model-a` to it. */
+export class RoutedHost {
+  readonly clock = new ManualClock();
+  readonly registry = new EndpointRegistry({
+    clock: this.clock,
+    logger: SILENT_LOGGER,
+    maximumConnections: () => 1,
+    storeRegainedAt: () => Number.NEGATIVE_INFINITY,
+  });
+  readonly router: EndpointRouter;
+  readonly replicas: ReplicaMap;
+  readonly limits: EndpointLimits;
+  readonly request: RoutedRequest;
+  private sequence = 0;
+
+  constructor(
+    private readonly engines: readonly EndpointRecord[],
+    features?: RoutedFeatures,
+  ) {
+    const {clock, registry} = this;
+    registry.applySnapshot(new Map(engines.map(record => [record.id, record])));
+    const service = serviceWith(['model-a']);
+    this.request = requestFor(service, 0);
+    const created = createRouter({
+      clock,
+      registry,
+      service: () => service,
+      features: features?.(clock),
+    });
+    this.router = created.router;
+    this.replicas = created.replicas;
+    this.limits = created.limits;
+  }
+
+  /** Acquires an endpoint for the request. */
+  acquire() {
+    const {signal} = new AbortController();
+    return this.router.acquire(this.request, new Set(), signal, 'affinity');
+  }
+
+  /** Returns an engine. */
+  engine(id: string): Endpoint {
+    const found = this.registry.find(id);
+    if (found === undefined) throw new Error(`There is no engine "${id}"`);
+    return found;
+  }
+
+  /** Excludes the engines of data centres. */
+  evacuate(...dataCentres: readonly string[]): void {
+    this.registry.setEvacuated(new Set(dataCentres));
+  }
+
+  /**
+   * Announces the models of the engines as their manager does.
+   *
+   * @param readyIn Milliseconds until `model-a` is expected to be ready.
+   */
+  announce(models: Record<string, string[]>, readyIn?: number): void {
+    this.replicas.receive({
+      service: 'engines',
+      epoch: 1,
+      announcer: 'host-2',
+      sequence: ++this.sequence,
+      engines: this.engines
+        .filter(({id}) => models[id] !== undefined)
+        .map(({id, startedAt}) => ({
+          endpoint: id,
+          startedAt,
+          targets: models[id] ?? [],
+        })),
+      expected:
+        readyIn === undefined
+          ? []
+          : [{target: 'model-a', readyInMilliseconds: readyIn}],
+      unexpected: [],
+      remoteOnly: {added: [], removed: [], readyInMilliseconds: 0},
+    });
+  }
+}
