Serve explanations of routing decisions on the metrics port

Cause: operators had to infer from logs why a request waits or is refused.

Change: `GET /explain` on the port of the metrics answers with the route, service, team, priority, outcome and endpoints of a request that is described by parameters. Unknown routes, teams, services and models, and wrong parameters, get an error with a code and a step.

--- a/src/entry/_bind_requests.ts
+++ b/src/entry/_bind_requests.ts
@@ -188,6 +188,18 @@
         topology: container.get(FleetTopology),
         metrics: container.get(Metrics),
         promptParts: container.get(PromptPartQuarantine),
+        explanation: {
+          hostId: settings.hostId,
+          dataCentre: settings.dataCentre,
+          balancing: settings.balancing ?? 'least_loaded',
+          admission: settings.admission ?? 'immediate',
+          clock,
+          routes: () => container.get(ConfigurationSource).index,
+          router: container.get(EndpointRouter),
+          rateLimiter: container.get(FleetRateLimiter),
+          promptParts: container.get(PromptPartQuarantine),
+          dispatchWindow: container.get(DispatchWindow),
+        },
         isReady: () =>
           !container.get(EntryState).isDraining &&
           container.get(ConfigurationSource).index !== undefined,
--- a/src/entry/entry_listeners.ts
+++ b/src/entry/entry_listeners.ts
@@ -13,6 +13,8 @@
 import type {Clock} from '../time/mod.ts';
 import type {EntrySettings} from './entry_settings.ts';
 import type {PlatformAdapter} from './platform_adapter.ts';
+import {EXPLAIN_PATH, handleExplain} from './explain_api.ts';
+import {explainRequest, type ExplainRequestOptions} from './explain_request.ts';
 import {handlePromptParts, PROMPT_PARTS_PATH} from './prompt_part_api.ts';
 
 /** Options of {@link EntryListeners}. */
@@ -24,6 +26,8 @@
   metrics: Metrics;
   clock: Clock;
   promptParts: Pick<PromptPartQuarantine, 'report' | 'release'>;
+  /** What decides on requests, to explain it to operators. */
+  explanation: ExplainRequestOptions;
   logger: EventLogger;
   isReady: () => boolean;
 }
@@ -215,8 +219,13 @@
   }
 
   private handleOperator(request: IncomingMessage, response: ServerResponse) {
+    const {explanation, promptParts} = this.options;
     if (request.url?.startsWith(PROMPT_PARTS_PATH) === true)
-      handlePromptParts(request, response, this.options.promptParts);
+      handlePromptParts(request, response, promptParts);
+    else if (request.url?.startsWith(EXPLAIN_PATH) === true)
+      handleExplain(request, response, query =>
+        explainRequest(query, explanation),
+      );
     else void this.handleMetrics(response);
   }
 
--- a/src/entry/mod.ts
+++ b/src/entry/mod.ts
@@ -16,4 +16,10 @@
   type EntrySettings,
   entrySettingsSchema,
 } from './entry_settings.ts';
+export type {
+  ExplanationError,
+  ExplanationQuery,
+  RequestExplanation,
+  RequestOutcome,
+} from './explain_request.ts';
 export type {AddressQuery, PlatformAdapter} from './platform_adapter.ts';
