Add the command `limpetdale explain`

Cause: the answer of `GET /explain` is for programs.

Change: the command asks the metrics port of an entry host and prints the outcome and a table of the endpoints, or JSON. It sends no operator token.

--- a/src/client/operator_client.ts
+++ b/src/client/operator_client.ts
@@ -2,6 +2,13 @@
 import {readFileSync} from 'node:fs';
 import {Command, Option} from 'commander';
 import {digestSecret, issueKey} from '../keys/mod.ts';
+import type {RequestExplanation} from '../entry/mod.ts';
+import {
+  addExplainCommand,
+  DEFAULT_EXPLAIN_ADDRESS,
+  withScheme,
+} from './explain_command.ts';
+import {formatExplanation} from './format_explanation.ts';
 import {
   type OperatorResponse,
   OperatorConnection,
@@ -88,6 +95,9 @@
     this.addEntityCommands();
     this.addKeyCommands();
     this.addOtherCommands();
+    addExplainCommand(this.program, (path, isJson) =>
+      this.explain(path, isJson),
+    );
   }
 
   async run(commandArguments: readonly string[]): Promise<number> {
@@ -297,6 +307,19 @@
     this.printResponse(await this.connection().get(path));
   }
 
+  /** Asks an entry host; its metrics port needs no token and gets none. */
+  private async explain(path: string, isJson: boolean): Promise<void> {
+    const isDefault = this.program.getOptionValueSource('host') === 'default';
+    const host = isDefault ? DEFAULT_EXPLAIN_ADDRESS : this.globalOptions.host;
+    const addresses = host.split(',').map(withScheme);
+    const response = await new OperatorConnection({addresses}).get(path);
+    if (response.kind === 'unreachable' || response.status >= 400 || isJson) {
+      this.printResponse(response);
+      return;
+    }
+    this.options.write(formatExplanation(response.body as RequestExplanation));
+  }
+
   private printResponse(response: OperatorResponse): boolean {
     if (response.kind === 'unreachable') {
       this.options.writeError(`No host answered: ${response.reason}`);
@@ -305,9 +328,11 @@
     }
     if (response.status >= 400) {
       const {error} = response.body as {
-        error?: {code: string; message: string};
+        error?: {code: string; message: string; step?: string};
       };
-      this.options.writeError(`${error?.code}: ${error?.message}`);
+      const step =
+        error?.step === undefined ? '' : ` at the step ${error.step}`;
+      this.options.writeError(`${error?.code}${step}: ${error?.message}`);
       this.exitCode = CLIENT_EXIT_CODES.refused;
       return false;
     }
--- a/src/client/operator_connection.ts
+++ b/src/client/operator_connection.ts
@@ -9,7 +9,8 @@
 export interface OperatorConnectionOptions {
   /** Operator addresses of one or more hosts, tried in order. */
   addresses: readonly string[];
-  token: string;
+  /** Sent as a bearer token; undefined for interfaces that need none. */
+  token?: string;
   /** Milliseconds after which a request times out. @default 30000 */
   timeoutMilliseconds?: number;
 }
@@ -22,7 +23,10 @@
 
   constructor(private readonly options: OperatorConnectionOptions) {
     this.client = got.extend({
-      headers: {authorization: `Bearer ${options.token}`},
+      headers:
+        options.token === undefined
+          ? {}
+          : {authorization: `Bearer ${options.token}`},
       retry: {limit: 0},
       followRedirect: false,
       throwHttpErrors: false,
