Decode cold phases and the settings that bound them

Cause: the configuration, endpoints' rows and responses state how long a process is cold, and nothing read it. Nothing uses the values yet. Measured: decode_test, settings_template_test, entry_settings_test, wire_names_test and render_event_catalogue_test pass (82 tests).

--- a/src/deployment/configuration.ts
+++ b/src/deployment/configuration.ts
@@ -56,6 +56,14 @@
   readonly models: ReadonlyMap<string, ModelConfiguration>;
 }
 
+/** How many requests a process of a service takes soon after its start. */
+export interface ColdStartConfiguration {
+  /** Time for which a process is cold after its start. */
+  readonly durationMilliseconds: number;
+  /** Requests a second from all hosts that a cold process takes; more than 0. */
+  readonly requestsPerSecond: number;
+}
+
 /** Configuration of a service to which requests are routed. */
 export interface ServiceConfiguration {
   readonly name: string;
@@ -63,6 +71,8 @@
   readonly connectionLimit: number;
   /** Defined if the endpoints are model engines. */
   readonly engines: EnginePoolConfiguration | undefined;
+  /** Undefined if its endpoints take any number of requests from their start. */
+  readonly coldStart: ColdStartConfiguration | undefined;
 }
 
 /** Configuration of a team: its API keys and rate limit. */
--- a/src/deployment/endpoint_record.ts
+++ b/src/deployment/endpoint_record.ts
@@ -20,6 +20,8 @@
   readonly startedAt: number;
   /** Time until the endpoint is removed; undefined if unknown. */
   readonly leavesInMilliseconds: number | undefined;
+  /** Time for which the endpoint stays cold, as of its row; 0 if it is warm. */
+  readonly coldMilliseconds: number;
   /** Models in the accelerator; empty for plain services. */
   readonly models: readonly HeldModel[];
   /** Models whose weights are in the endpoint's main memory. */
--- a/src/deployment/mod.ts
+++ b/src/deployment/mod.ts
@@ -11,6 +11,7 @@
 export {callerTimeout, type CallerTimeoutInput} from './caller_timeout.ts';
 export type {
   CallerLimits,
+  ColdStartConfiguration,
   DeploymentConfiguration,
   EnginePoolConfiguration,
   ModelConfiguration,
--- a/src/engines/engine_state_test.ts
+++ b/src/engines/engine_state_test.ts
@@ -12,6 +12,7 @@
   state: 'ready',
   startedAt: 1,
   leavesInMilliseconds: undefined,
+  coldMilliseconds: 0,
   models: [],
   inMemory: [],
   onDisk: [],
--- a/src/engines/pool_manager_test.ts
+++ b/src/engines/pool_manager_test.ts
@@ -49,6 +49,7 @@
     state: 'ready' as const,
     startedAt: 1,
     leavesInMilliseconds: undefined,
+    coldMilliseconds: 0,
     models: [],
     inMemory: [],
     onDisk: ['model-a'],
@@ -65,6 +66,7 @@
   const service = {
     name: 'engines',
     connectionLimit: 10,
+    coldStart: undefined,
     engines: {
       slots: 1,
       weightsMegabytes: 2,
--- a/src/engines/removed_model_test.ts
+++ b/src/engines/removed_model_test.ts
@@ -17,6 +17,7 @@
   return {
     name: 'engines',
     connectionLimit: 10,
+    coldStart: undefined,
     engines: {
       slots: 1,
       weightsMegabytes: 2,
--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -83,6 +83,15 @@
       windowSeconds: z.number().positive(),
     })
     .describe('Retries allowed over all hosts.'),
+  coldEngines: z
+    .object({
+      overrun: z.number().positive().default(1),
+      slack: z.number().nonnegative().default(0),
+    })
+    .default({overrun: 1, slack: 0})
+    .describe(
+      'Requests that a cold endpoint may get in any one second: its requests a second times `overrun`, plus `slack`.',
+    ),
   log: z
     .object({
       servedLinesPerSecond: z.number().int().positive().default(40),
--- a/src/fleet/endpoint_registry_test.ts
+++ b/src/fleet/endpoint_registry_test.ts
@@ -15,6 +15,7 @@
     state: 'ready',
     startedAt: 1,
     leavesInMilliseconds: undefined,
+    coldMilliseconds: 0,
     models: [],
     inMemory: [],
     onDisk: [],
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -295,6 +295,22 @@
     level: 'info',
     message: 'Endpoint takes any number of requests again',
   },
+  endpointCold: {
+    number: 621,
+    level: 'info',
+    message: 'Endpoint is cold and takes few requests from all hosts',
+  },
+  endpointColdEnded: {
+    number: 622,
+    level: 'info',
+    message: 'Cold phase of an endpoint has ended',
+  },
+  endpointPresumedCold: {
+    number: 623,
+    level: 'info',
+    message:
+      'Endpoint is presumed cold after a failed connection; its next process may be',
+  },
   circuitOpened: {
     number: 613,
     level: 'warn',
--- a/src/platform/_wire_value.ts
+++ b/src/platform/_wire_value.ts
@@ -16,6 +16,16 @@
   return typeof value === 'number' && Number.isFinite(value) ? value : fallback;
 }
 
+/** Longest cold phase; longer ones on the wire are taken for errors and cut. */
+const MAXIMUM_COLD_MILLISECONDS = 600_000;
+
+/** Returns the duration of a cold phase in milliseconds; 0 for an invalid value. */
+export function coldMillisecondsOf(value: unknown): number {
+  return typeof value === 'number' && value > 0
+    ? Math.min(value, MAXIMUM_COLD_MILLISECONDS)
+    : 0;
+}
+
 /** Returns the objects in an array; an empty array for any other type. */
 export function objectsOf(value: unknown): readonly WireObject[] {
   return Array.isArray(value) ? value.filter(isWireObject) : [];
--- a/src/platform/decode_configuration.ts
+++ b/src/platform/decode_configuration.ts
@@ -1,5 +1,6 @@
 import {
   callerTimeout,
+  type ColdStartConfiguration,
   type DeploymentConfiguration,
   type EnginePoolConfiguration,
   type Route,
@@ -9,6 +10,7 @@
   type TeamConfiguration,
 } from '../deployment/mod.ts';
 import {
+  coldMillisecondsOf,
   isWireObject,
   numberOf,
   objectsOf,
@@ -98,9 +100,22 @@
     name: stringOf(service['name']),
     connectionLimit: numberOf(service['connection_limit'], 100),
     engines: isWireObject(engine) ? decodeEnginePool(engine) : undefined,
+    coldStart: decodeColdStart(service),
   };
 }
 
+function decodeColdStart(
+  service: WireObject,
+): ColdStartConfiguration | undefined {
+  const durationMilliseconds = coldMillisecondsOf(
+    numberOf(service['cold_start_s']) * 1000,
+  );
+  const requestsPerSecond = numberOf(service['cold_per_s']);
+  return durationMilliseconds > 0 && requestsPerSecond > 0
+    ? {durationMilliseconds, requestsPerSecond}
+    : undefined;
+}
+
 function decodeEnginePool(engine: WireObject): EnginePoolConfiguration {
   return {
     slots: numberOf(engine['slots'], 1),
--- a/src/platform/decode_endpoint.ts
+++ b/src/platform/decode_endpoint.ts
@@ -1,6 +1,7 @@
 import type {EndpointRecord, HeldModel} from '../deployment/mod.ts';
 import {isSocketAddress} from '../exchange/mod.ts';
 import {
+  coldMillisecondsOf,
   isWireObject,
   numberOf,
   objectsOf,
@@ -49,6 +50,7 @@
     leavesInMilliseconds: Number.isFinite(remaining)
       ? Number(remaining)
       : undefined,
+    coldMilliseconds: coldMillisecondsOf(value['cold_remaining_ms']),
     models: decodeHeldModels(value['models']),
     inMemory: stringsOf(available['in_memory']),
     onDisk: stringsOf(available['on_disk']),
--- a/src/platform/decode_test.ts
+++ b/src/platform/decode_test.ts
@@ -1,7 +1,9 @@
+import type {IncomingMessage} from 'node:http';
 import {describe, expect, test} from 'vitest';
 import {platformConfiguration} from '../testing/platform_deployment.ts';
 import {decodeConfiguration} from './decode_configuration.ts';
 import {decodeEndpoint} from './decode_endpoint.ts';
+import {PLATFORM_WIRE_FORMAT} from './platform_wire_format.ts';
 
 const ROW = {
   service: 'engines',
@@ -57,6 +59,7 @@
       state: 'ready',
       startedAt: 123,
       leavesInMilliseconds: undefined,
+      coldMilliseconds: 0,
       models: ROW.models,
       inMemory: ['model-b'],
       onDisk: ['model-c'],
@@ -74,6 +77,65 @@
   });
 });
 
+// A wrong value must neither make an endpoint unusable nor limit it for hours.
+const COLD_VALUES = [
+  {name: 'no value', value: undefined, expected: 0},
+  {name: 'a time', value: 2900, expected: 2900},
+  {name: 'a negative number', value: -1, expected: 0},
+  {name: 'a text', value: '2900', expected: 0},
+  {name: 'a huge number', value: 1e300, expected: 600_000},
+  {name: 'infinity', value: Infinity, expected: 600_000},
+  {name: 'no number', value: NaN, expected: 0},
+];
+
+describe('cold phases', () => {
+  test.each(COLD_VALUES)('a row with $name', ({value, expected}) => {
+    const record = decodeEndpoint('e', 1, {...ROW, cold_remaining_ms: value});
+    expect(record?.coldMilliseconds).toBe(expected);
+  });
+
+  const headers = [
+    {value: undefined, expected: undefined},
+    {value: '0', expected: 0},
+    {value: ' 2900 ', expected: 2900},
+    {value: '-5', expected: undefined},
+    {value: 'soon', expected: undefined},
+    {value: '9'.repeat(400), expected: 600_000},
+  ];
+  // A negative or unreadable header must not end a known phase.
+  test.each(headers)('a response with Cold-Ms $value', ({value, expected}) => {
+    const response = {
+      statusCode: 200,
+      headers: value === undefined ? {} : {'cold-ms': value},
+    } as unknown as IncomingMessage;
+    const notice = PLATFORM_WIRE_FORMAT.readNotice(response);
+    expect(notice.coldMilliseconds).toBe(expected);
+  });
+
+  const terms = [
+    {name: 'both', start: 3, rate: 14, expected: [3000, 14]},
+    {name: 'none', start: undefined, rate: undefined, expected: undefined},
+    {name: 'no duration', start: 0, rate: 14, expected: undefined},
+    {name: 'no rate', start: 3, rate: 0, expected: undefined},
+    {name: 'a negative rate', start: 3, rate: -14, expected: undefined},
+    {name: 'a negative duration', start: -3, rate: 14, expected: undefined},
+    {name: 'texts', start: '3', rate: '14', expected: undefined},
+    {name: 'a huge duration', start: 1e300, rate: 14, expected: [600_000, 14]},
+    {name: 'an infinite rate', start: 3, rate: Infinity, expected: undefined},
+  ];
+  // An unreadable value must not limit a service to a rate of 0 or NaN.
+  test.each(terms)('a service with $name', ({start, rate, expected}) => {
+    const configuration = decodeConfiguration({
+      version: 1,
+      services: [{name: 's', cold_start_s: start, cold_per_s: rate}],
+    });
+    const cold = configuration?.services.get('s')?.coldStart;
+    expect(cold && [cold.durationMilliseconds, cold.requestsPerSecond]).toEqual(
+      expected,
+    );
+  });
+});
+
 describe('decodeConfiguration', () => {
   test.each([undefined, 'text', {}, {version: '7'}])(
     '%j is not a configuration',
--- a/src/platform/platform_wire_format.ts
+++ b/src/platform/platform_wire_format.ts
@@ -13,6 +13,7 @@
   WireFormat,
   EndpointNotice,
 } from '../relay/mod.ts';
+import {coldMillisecondsOf} from './_wire_value.ts';
 
 /** Header names of the platform, in the letter case in which they are sent. */
 const HEADERS = {
@@ -35,6 +36,8 @@
   /** Requests a second from all hosts together. */
   requestLimit: 'Server-Limit',
   leaving: 'Server-Leaving',
+  /** Time for which the endpoint stays cold, in milliseconds. */
+  cold: 'Cold-Ms',
 } as const;
 
 /** Rewritten for each message (Content-Length) or handled by this host (Expect). */
@@ -111,7 +114,9 @@
     response.statusCode === STATUS_UNAVAILABLE
       ? number(HEADERS.retryAfter)
       : undefined;
+  const cold = number(HEADERS.cold);
   return {
+    coldMilliseconds: cold === undefined ? undefined : coldMillisecondsOf(cold),
     requestsPerSecond: number(HEADERS.requestLimit),
     isLeaving: responseHeader(response, HEADERS.leaving)?.trim() === '1',
     closedMilliseconds:
--- a/src/relay/wire_format.ts
+++ b/src/relay/wire_format.ts
@@ -27,6 +27,8 @@
 export interface EndpointNotice {
   /** Requests a second that it takes from all hosts; undefined without a limit. */
   readonly requestsPerSecond: number | undefined;
+  /** Time for which it stays cold, 0 if it is warm; undefined if it does not say. */
+  readonly coldMilliseconds: number | undefined;
   /** Whether it is about to stop. */
   readonly isLeaving: boolean;
   /** Time for which it wants no requests of this host; undefined if it says none. */
--- a/src/testing/platform_deployment.ts
+++ b/src/testing/platform_deployment.ts
@@ -157,6 +157,7 @@
     memoryMegabytes: 350,
     linkMegabits: 1000,
     retries: {ratio: 0.2, slack: 56, windowSeconds: 10},
+    coldEngines: {overrun: 1.5, slack: 5},
     log: {servedLinesPerSecond: 100, otherLinesPerSecond: 1000},
   };
 }
--- a/src/testing/pool_traffic.ts
+++ b/src/testing/pool_traffic.ts
@@ -51,6 +51,7 @@
     state: 'ready',
     startedAt: 1_000_000,
     leavesInMilliseconds: undefined,
+    coldMilliseconds: 0,
     models: [],
     inMemory: [],
     onDisk: [],
