Limit the requests to cold engines over all hosts

Cause: an engine that has just started crashes above cold_per_s x cold_overrun + cold_slack requests in any one second; the hosts sent it as many as to a warm one. Change: ColdPhases beside the named limits, with an end by the host's clock; the granter's permits, the even shares and a reserve for late use divide the limit (coldBudget); a granter grants only the share that it has held for 1.5 s (SteadyShare); presumption after a failed connection; rows that turn cold are significant; questions and limit announcements carry the phase. Measured: permit_broker_test, removed_model_test, store_followers_test and endpoint_notice_test pass as before (27 tests).

--- a/src/engines/_limited_endpoints.ts
+++ b/src/engines/_limited_endpoints.ts
@@ -1,7 +1,8 @@
 import type {Endpoint, EndpointRegistry} from '../fleet/mod.ts';
-import type {EndpointLimits, PermitBroker} from '../permits/mod.ts';
+import type {EndpointLimits, Permit, PermitBroker} from '../permits/mod.ts';
 import type {NotedResponse, RoutedRequest} from '../relay/mod.ts';
 import {type Clock, sleep} from '../time/mod.ts';
+import type {ColdEngines} from './cold_engines.ts';
 
 /** Options of {@link LimitedEndpoints}. */
 export interface LimitedEndpointsOptions {
@@ -9,6 +10,7 @@
   registry: EndpointRegistry;
   limits: EndpointLimits;
   permits: PermitBroker;
+  coldEngines: Pick<ColdEngines, 'rateOf'>;
   /** Tells all hosts that a process has said that it leaves. */
   announceLeaving: (incarnation: string) => void;
 }
@@ -19,6 +21,8 @@
   readonly request: RoutedRequest;
   /** Monotonic time until which the request can wait. */
   readonly waitsUntil: number;
+  /** Whether another endpoint can take the request at once. */
+  readonly hasOther: boolean;
 }
 
 /**
@@ -27,6 +31,13 @@
  */
 const SHORT_WAIT_MILLISECONDS = 1000;
 
+/**
+ * Time after which a permit for a cold endpoint is void. Permits that a delayed event loop
+ * uses later would add to those of the next second; the endpoint's budget covers 250 ms,
+ * most of which an answer of the granter may take.
+ */
+const LATE_MILLISECONDS = 50;
+
 /** Origin of what this host has learned from a response itself, for logs. */
 const OWN_RESPONSE = 'response';
 
@@ -53,10 +64,14 @@
 
   /** Records what a response says of its endpoint. */
   observe(
-    {incarnation, condition}: Endpoint,
+    endpoint: Endpoint,
     {notice, sentAt, isSuccess}: NotedResponse,
   ): void {
-    const {clock, registry, limits, announceLeaving} = this.options;
+    const {incarnation, condition} = endpoint;
+    const {clock, registry, limits, coldEngines, announceLeaving} =
+      this.options;
+    const coldRate = coldEngines.rateOf(endpoint);
+    const {coldMilliseconds} = notice;
     if (notice.isLeaving && registry.recordLeaving(incarnation, OWN_RESPONSE))
       announceLeaving(incarnation);
     if (notice.closedMilliseconds !== undefined) {
@@ -66,6 +81,10 @@
     limits.observe({
       incarnation,
       ratePerSecond: notice.requestsPerSecond,
+      cold:
+        coldRate === undefined || coldMilliseconds === undefined
+          ? undefined
+          : {milliseconds: coldMilliseconds, ratePerSecond: coldRate},
       sentAt,
       isSuccess,
     });
@@ -73,7 +92,8 @@
 
   /**
    * Waits until a request may be sent to an endpoint, at most for as long as it can
-   * still meet its latency objective or for a short time.
+   * still meet its latency objective or for a short time. A request does not wait for a
+   * cold endpoint if another one takes it at once.
    *
    * @returns Undefined if it may be sent now, else the monotonic time at which its
    *   caller may return.
@@ -82,22 +102,49 @@
     candidate: LimitedCandidate,
     signal: AbortSignal,
   ): Promise<number | undefined> {
-    const {endpoint, request, waitsUntil} = candidate;
-    const closedUntil = this.closedUntil(endpoint);
-    if (closedUntil !== undefined) return closedUntil;
-    if (!this.has(endpoint)) return undefined;
-    const {clock, permits, registry} = this.options;
-    const horizon = Math.min(
-      Math.max(SHORT_WAIT_MILLISECONDS, request.route.objectiveMilliseconds),
-      waitsUntil - clock.monotonicMilliseconds(),
+    const {endpoint, request, waitsUntil, hasOther} = candidate;
+    const {clock, limits, permits, registry} = this.options;
+    const {incarnation} = endpoint;
+    const giveUpAt = Math.min(
+      clock.monotonicMilliseconds() +
+        Math.max(SHORT_WAIT_MILLISECONDS, request.route.objectiveMilliseconds),
+      waitsUntil,
     );
-    const permit = await permits.acquire(endpoint.incarnation, horizon);
-    if (permit.kind === 'denied') return permit.returnAt;
-    const delay = permit.at - clock.monotonicMilliseconds();
-    if (delay > 0) await sleep(clock, delay, signal);
-    // The endpoint may have begun to leave meanwhile.
-    return registry.usable(request.service.name).includes(endpoint)
-      ? undefined
-      : clock.monotonicMilliseconds();
+    for (;;) {
+      const closedUntil = this.closedUntil(endpoint);
+      if (closedUntil !== undefined) return closedUntil;
+      if (!this.has(endpoint)) return undefined;
+      const isCold = limits.coldPhaseOf(incarnation) !== undefined;
+      const horizon = giveUpAt - clock.monotonicMilliseconds();
+      const permit = await permits.acquire(
+        incarnation,
+        isCold && hasOther ? 0 : horizon,
+      );
+      const at = permit.kind === 'granted' ? permit.at : permit.returnAt;
+      // The permits of a cold endpoint are granted a short time ahead, so a request that
+      // is denied one asks again at its turn.
+      const mayAskAgain = isCold && !hasOther && at < giveUpAt;
+      if (permit.kind === 'denied' && !mayAskAgain) return at;
+      const delay = at - clock.monotonicMilliseconds();
+      if (delay > 0) await sleep(clock, delay, signal);
+      const now = clock.monotonicMilliseconds();
+      // The endpoint may have begun to leave meanwhile.
+      if (!registry.usable(request.service.name).includes(endpoint)) return now;
+      if (isCold && signal.aborted) return now;
+      if (this.isValid(permit, incarnation, isCold)) return undefined;
+    }
+  }
+
+  /** Whether a request may be sent with a permit now. */
+  private isValid(
+    permit: Permit,
+    incarnation: string,
+    wasCold: boolean,
+  ): boolean {
+    if (permit.kind === 'denied') return false;
+    const {clock, limits} = this.options;
+    // A permit of a named limit says nothing of a cold phase that has begun meanwhile.
+    if (!wasCold) return limits.coldPhaseOf(incarnation) === undefined;
+    return clock.monotonicMilliseconds() <= permit.at + LATE_MILLISECONDS;
   }
 }
--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -25,6 +25,7 @@
 } from '../relay/mod.ts';
 import type {EndpointLimits, PermitBroker} from '../permits/mod.ts';
 import type {Clock} from '../time/mod.ts';
+import type {ColdEngines} from './cold_engines.ts';
 import {LimitedEndpoints} from './_limited_endpoints.ts';
 import {modelNotFound, refusal} from './_refusal.ts';
 import type {ReplicaMap} from './replica_map.ts';
@@ -35,6 +36,7 @@
   replicas: ReplicaMap;
   limits: EndpointLimits;
   permits: PermitBroker;
+  coldEngines: Pick<ColdEngines, 'presume' | 'rateOf'>;
   /** Until when requests are sent to endpoints. */
   dispatchWindow: DispatchWindow;
   /** Tells all hosts that a process has said in a response that it leaves. */
@@ -125,8 +127,14 @@
       const chosen = this.choose(open, request, excluded, preference);
       if (chosen !== undefined) {
         const waitsUntil = this.waitDeadline(request);
+        const hasOther =
+          this.limited.has(chosen) &&
+          open.some(
+            other =>
+              !excluded.has(other.incarnation) && this.limited.isOpen(other),
+          );
         const roomAt = await this.limited.roomAt(
-          {endpoint: chosen, request, waitsUntil},
+          {endpoint: chosen, request, waitsUntil, hasOther},
           signal,
         );
         if (roomAt === undefined) {
@@ -166,6 +174,10 @@
     this.limited.observe(endpoint, response);
   }
 
+  noteUnreachable(endpoint: Endpoint): void {
+    this.options.coldEngines.presume(endpoint);
+  }
+
   noteRefused(request: RoutedRequest, endpoint: Endpoint): void {
     this.options.replicas.recordRefusal(endpoint, targetOf(request.metadata));
   }
--- a/src/engines/mod.ts
+++ b/src/engines/mod.ts
@@ -16,6 +16,7 @@
  * @module
  */
 export {ArrivalRates} from './arrival_rates.ts';
+export {ColdEngines, type ColdEnginesOptions} from './cold_engines.ts';
 export {EndpointRouter, type EndpointRouterOptions} from './endpoint_router.ts';
 export type {
   EngineControl,
--- a/src/entry/_bind_requests.ts
+++ b/src/entry/_bind_requests.ts
@@ -1,6 +1,6 @@
 import type {Container} from 'inversify';
 import {ByteBudget} from '../bytes/mod.ts';
-import {EndpointRouter, ReplicaMap} from '../engines/mod.ts';
+import {ColdEngines, EndpointRouter, ReplicaMap} from '../engines/mod.ts';
 import {isConnectionRefused} from '../exchange/mod.ts';
 import {EndpointRegistry, FleetShares, FleetTopology} from '../fleet/mod.ts';
 import {FleetRateLimiter} from '../limits/mod.ts';
@@ -53,6 +53,16 @@
         clock,
       }),
   );
+  const service = (name: string) =>
+    container.get(ConfigurationSource).index?.configuration.services.get(name);
+  container.bind(ColdEngines).toDynamicValue(
+    () =>
+      new ColdEngines({
+        registry: container.get(EndpointRegistry),
+        limits: container.get(EndpointLimits),
+        service,
+      }),
+  );
   container.bind(EndpointRouter).toDynamicValue(
     () =>
       new EndpointRouter({
@@ -60,6 +70,7 @@
         replicas: container.get(ReplicaMap),
         limits: container.get(EndpointLimits),
         permits: container.get(PermitBroker),
+        coldEngines: container.get(ColdEngines),
         dispatchWindow: container.get(DispatchWindow),
         announceLeaving: incarnation =>
           container
@@ -67,10 +78,7 @@
             .announce({kind: 'endpoint_leaving', incarnation}),
         clock,
         dataCentre: settings.dataCentre,
-        service: name =>
-          container
-            .get(ConfigurationSource)
-            .index?.configuration.services.get(name),
+        service,
         onDemandChanged: () => {
           container.get(FleetStateExchange).reportDemandSoon();
           container.get(PoolSupervisor).notify();
--- a/src/entry/_fleet_state_exchange_options.ts
+++ b/src/entry/_fleet_state_exchange_options.ts
@@ -41,7 +41,7 @@
   router: Pick<EndpointRouter, 'arrivalCounts' | 'waiting'>;
   crashTracker: Pick<CrashTracker, 'receive'>;
   promptParts: Pick<PromptPartQuarantine, 'receive'>;
-  limits: Pick<EndpointLimits, 'receive'>;
+  limits: Pick<EndpointLimits, 'receiveAnnouncement'>;
   permits: Pick<PermitBroker, 'answer' | 'receive'>;
   /** Called when a peer reports waiting requests, which may be for a pool managed here. */
   onDemandChanged: () => void;
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -1,5 +1,5 @@
 import {Container} from 'inversify';
-import {EndpointRouter, ReplicaMap} from '../engines/mod.ts';
+import {ColdEngines, EndpointRouter, ReplicaMap} from '../engines/mod.ts';
 import {
   EndpointRegistry,
   FleetLoad,
@@ -193,6 +193,7 @@
         onApplied: configuration => {
           container.get(EntryListeners).applyLimits(configuration.limits);
           container.get(FleetRateLimiter).configure(configuration.teams ?? []);
+          container.get(ColdEngines).update();
           container.get(PoolSupervisor).startPools();
           container.get(EndpointRouter).recheckWaiting();
         },
--- a/src/entry/fleet_state_exchange.ts
+++ b/src/entry/fleet_state_exchange.ts
@@ -210,10 +210,7 @@
         this.passOn(from, message);
         return;
       case 'endpoint_limit':
-        this.options.limits.receive(
-          message.incarnation,
-          message.ratePerSecond ?? undefined,
-        );
+        this.options.limits.receiveAnnouncement(message);
         this.passOn(from, message);
         return;
       case 'endpoint_leaving':
--- a/src/entry/store_followers.ts
+++ b/src/entry/store_followers.ts
@@ -281,13 +281,15 @@
   }
 
   /**
-   * Whether a row of an endpoint changes where requests may go. Heartbeats do not,
+   * Whether a row of an endpoint changes where requests may go. Heartbeats do not unless
+   * a cold phase begins again or ends, since each host knows the end of a phase,
    * and models are announced by the manager of their pool.
    */
   private isSignificantEndpoint(row: Row, previous: Row | undefined): boolean {
     return (
       previous === undefined ||
-      this.significantContent(row) !== this.significantContent(previous)
+      this.significantContent(row) !== this.significantContent(previous) ||
+      this.coldMilliseconds(row) > this.coldMilliseconds(previous)
     );
   }
 
@@ -305,9 +307,24 @@
           record.slots,
           record.startedAt,
           record.leavesInMilliseconds === undefined,
+          this.coldMilliseconds({key, version, value}) > 0,
         ]);
   }
 
+  /** Time for which an endpoint stays cold; 0 if its service has no cold phase. */
+  private coldMilliseconds({key, version, value}: Row): number {
+    const {platform, configuration} = this.options;
+    if (value === undefined) return 0;
+    const record = platform.decodeEndpoint(key, version, value);
+    if (record === undefined) return 0;
+    const {index} = configuration;
+    // Until the services are known, any phase may matter to the other hosts.
+    const hasColdPhase =
+      index === undefined ||
+      index.configuration.services.get(record.service)?.coldStart !== undefined;
+    return hasColdPhase ? record.coldMilliseconds : 0;
+  }
+
   private applyConfiguration(rows: readonly Row[], source: RowSource): void {
     const {platform, configuration} = this.options;
     for (const {key, value} of rows) {
--- a/src/peers/peer_message.ts
+++ b/src/peers/peer_message.ts
@@ -8,6 +8,15 @@
 /** Number of hosts that have passed an announcement on. */
 const hops = z.number().int().nonnegative().default(0);
 const correlationId = z.string().min(1).max(64);
+/** Cold phase of an endpoint as the sender knows it. */
+const coldPhase = z
+  .object({
+    /** Requests a second that it takes from all hosts. */
+    ratePerSecond: z.number().positive(),
+    /** Time until it ends. */
+    milliseconds: milliseconds.nonnegative().max(600_000),
+  })
+  .optional();
 /** Position of a report among those of its sender. */
 const reportPosition = {
   /** Increases with each report. */
@@ -281,6 +290,8 @@
     incarnation: z.string(),
     /** Null when the endpoint names no limit any more. */
     ratePerSecond: z.number().nonnegative().nullable(),
+    /** Set if the message is about a cold phase instead of a limit. */
+    cold: coldPhase,
   }),
   /** Asks for a permit to send one request to an endpoint with a limit. */
   z.object({
@@ -289,6 +300,7 @@
     incarnation: z.string(),
     /** Limit that the sender knows. */
     ratePerSecond: z.number().nonnegative(),
+    cold: coldPhase,
     /** Longest time that the request can wait. */
     horizonMilliseconds: milliseconds,
   }),
--- a/src/permits/endpoint_limits.ts
+++ b/src/permits/endpoint_limits.ts
@@ -1,5 +1,11 @@
 import type {EventLogger} from '../observability/mod.ts';
+import type {PeerMessageOf} from '../peers/mod.ts';
 import type {Clock} from '../time/mod.ts';
+import {
+  type ColdObservation,
+  type ColdPhase,
+  ColdPhases,
+} from './cold_phases.ts';
 
 /** Options of {@link EndpointLimits}. */
 export interface EndpointLimitsOptions {
@@ -7,6 +13,10 @@
   logger: EventLogger;
   /** Tells all hosts of a limit; undefined when it has ended. */
   announce: (incarnation: string, ratePerSecond: number | undefined) => void;
+  /** Tells all hosts of a cold phase that a response has shown. */
+  announceCold?: (observation: ColdObservation) => void;
+  /** Called with the number of cold processes after each change. */
+  onColdCount?: (count: number) => void;
 }
 
 /** What a response of an endpoint says of its limit. */
@@ -15,6 +25,8 @@
   readonly incarnation: string;
   /** Requests a second from all hosts; undefined if the response names no limit. */
   readonly ratePerSecond: number | undefined;
+  /** Cold phase that the response states; undefined if it states none. */
+  readonly cold?: {milliseconds: number; ratePerSecond: number} | undefined;
   /** Monotonic time at which the request was sent. */
   readonly sentAt: number;
   /** Whether the endpoint has served the request. */
@@ -40,15 +52,40 @@
  * responses. A host that has learned of a limit tells the others.
  */
 export class EndpointLimits {
+  /** Cold phases of the processes, which end independently of named limits. */
+  readonly cold: ColdPhases;
   private readonly limits = new Map<string, Limit>();
 
-  constructor(private readonly options: EndpointLimitsOptions) {}
+  constructor(private readonly options: EndpointLimitsOptions) {
+    const {clock, logger, onColdCount: onCount} = options;
+    this.cold = new ColdPhases({
+      clock,
+      logger,
+      ...(onCount === undefined ? {} : {onCount}),
+    });
+  }
 
-  /** Requests a second that a process takes; undefined if it names no limit. */
+  /**
+   * Requests a second that a process takes: the lower of the limit that it names and its
+   * rate while it is cold. Undefined if it takes any number.
+   */
   rateOf(incarnation: string): number | undefined {
+    const named = this.namedRateOf(incarnation);
+    const cold = this.coldPhaseOf(incarnation)?.ratePerSecond;
+    if (named === undefined || cold === undefined) return named ?? cold;
+    return Math.min(named, cold);
+  }
+
+  /** Requests a second that a process names in its responses. */
+  namedRateOf(incarnation: string): number | undefined {
     return this.limits.get(incarnation)?.ratePerSecond;
   }
 
+  /** Cold phase of a process; undefined if it is warm. */
+  coldPhaseOf(incarnation: string): ColdPhase | undefined {
+    return this.cold.current(incarnation);
+  }
+
   /** All known limits, for a host that has just connected. */
   current(): readonly {incarnation: string; ratePerSecond: number}[] {
     return [...this.limits].map(([incarnation, {ratePerSecond}]) => ({
@@ -64,6 +101,7 @@
    */
   observe(observation: LimitObservation): void {
     const {incarnation, ratePerSecond, sentAt, isSuccess} = observation;
+    this.observeCold(observation);
     const known = this.limits.get(incarnation);
     if (ratePerSecond === undefined) {
       if (known === undefined || !isSuccess || sentAt <= known.learnedAt)
@@ -86,6 +124,21 @@
     this.options.announce(incarnation, ratePerSecond);
   }
 
+  private observeCold({incarnation, cold, sentAt}: LimitObservation): void {
+    this.cold.recordAnswer(incarnation, sentAt);
+    if (cold === undefined) return;
+    const seen = {incarnation, ...cold};
+    if (this.cold.recordResponse(seen, sentAt))
+      this.options.announceCold?.(seen);
+  }
+
+  /** Records a message of another host, on a limit or on a cold phase. */
+  receiveAnnouncement(message: PeerMessageOf<'endpoint_limit'>): void {
+    const {incarnation, ratePerSecond, cold} = message;
+    if (cold !== undefined) this.cold.receive({incarnation, ...cold});
+    else this.receive(incarnation, ratePerSecond ?? undefined);
+  }
+
   /** Records what another host has announced. */
   receive(incarnation: string, ratePerSecond: number | undefined): void {
     this.set(incarnation, ratePerSecond);
--- a/src/permits/mod.ts
+++ b/src/permits/mod.ts
@@ -9,13 +9,24 @@
  *
  * @module
  */
+export {coldBudget, type ColdBudget, type ColdTerms} from './cold_budget.ts';
+export {
+  type ColdObservation,
+  type ColdPhase,
+  ColdPhases,
+  type ColdPhasesOptions,
+} from './cold_phases.ts';
 export {
   EndpointLimits,
   type EndpointLimitsOptions,
   type LimitObservation,
 } from './endpoint_limits.ts';
 export type {Permit} from './permit.ts';
-export {PermitBroker, type PermitBrokerOptions} from './permit_broker.ts';
+export {
+  type ColdDecision,
+  PermitBroker,
+  type PermitBrokerOptions,
+} from './permit_broker.ts';
 export {
   PermitSchedule,
   type PermitScheduleOptions,
--- a/src/permits/permit_broker_test.ts
+++ b/src/permits/permit_broker_test.ts
@@ -69,6 +69,8 @@
       grantedShare: () => Math.min(1, connected().size / active),
       evenShare: () =>
         host < active ? 0.9 / active : 0.1 / Math.max(1, standby),
+      coldShare: () => 0,
+      coldEngines: {overrun: 1, slack: 0},
       send: (id, message) => {
         if (!reaches(host, indexOf(id))) return false;
         const delay = LINK_MILLISECONDS + (faults.delays.get(host) ?? 0);
--- a/src/permits/permit_schedule.ts
+++ b/src/permits/permit_schedule.ts
@@ -20,6 +20,10 @@
   readonly ratePerSecond: number;
   /** Longest time that the request can wait, in milliseconds. */
   readonly horizonMilliseconds: number;
+  /** Number of permits that may be saved. @default those of one second */
+  readonly maximumSaved?: number | undefined;
+  /** Monotonic time before which no permit is granted. */
+  readonly notBefore?: number | undefined;
 }
 
 /** Lowest rate that is scheduled; bounds the length of an interval. */
@@ -47,7 +51,7 @@
 
 /**
  * Spaces the requests to each endpoint at its rate. Unused permits are saved up for one
- * second, since requests do not arrive evenly; a new schedule has none saved. Refused
+ * second or up to a given number, since requests do not arrive evenly; a new schedule has none saved. Refused
  * callers are told to return one after the other at the same rate, instead of all at
  * once.
  */
@@ -61,7 +65,8 @@
     const now = this.options.clock.monotonicMilliseconds();
     const slots = this.slotsOf(terms, now);
     const interval = 1000 / slots.ratePerSecond;
-    this.endPause(slots, now, interval);
+    this.endPause(slots, terms, now, interval);
+    slots.nextAt = Math.max(slots.nextAt, terms.notBefore ?? slots.nextAt);
     const at = Math.max(now, slots.nextAt);
     if (at - now <= terms.horizonMilliseconds) {
       slots.nextAt += interval;
@@ -76,11 +81,22 @@
   }
 
   /** Drops permits that were not used, beyond those that are saved. */
-  private endPause(slots: Slots, now: number, interval: number): void {
+  private endPause(
+    slots: Slots,
+    {maximumSaved, notBefore}: PermitTerms,
+    now: number,
+    interval: number,
+  ): void {
     const {firstDelay} = this.options;
     if (firstDelay === undefined) {
-      const saved = Math.max(SAVED_MILLISECONDS, MINIMUM_SAVED * interval);
+      const saved =
+        maximumSaved === undefined
+          ? Math.max(SAVED_MILLISECONDS, MINIMUM_SAVED * interval)
+          : maximumSaved * interval;
       slots.nextAt = Math.max(slots.nextAt, now - saved + interval);
+    } else if (notBefore !== undefined && slots.nextAt < notBefore) {
+      // Hosts that wait for the same time do not begin together.
+      slots.nextAt = notBefore + firstDelay() * interval;
     } else if (slots.nextAt < now - interval) {
       slots.nextAt = now + firstDelay() * interval;
     } else {
@@ -104,7 +120,8 @@
       return known;
     }
     const delay = (this.options.firstDelay?.() ?? 0) * (1000 / ratePerSecond);
-    const slots = {ratePerSecond, nextAt: now + delay, nextReturnAt: now};
+    const start = Math.max(now, terms.notBefore ?? now);
+    const slots = {ratePerSecond, nextAt: start + delay, nextReturnAt: now};
     const [oldest] = this.slots.keys();
     if (this.slots.size >= MAXIMUM_ENTRIES && oldest !== undefined)
       this.slots.delete(oldest);
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -214,6 +214,7 @@
           condition.recordConnectFailure(
             this.options.clock.monotonicMilliseconds(),
           );
+          this.options.endpoints.noteUnreachable(endpoint);
         }
         return {
           kind: 'not_run',
--- a/src/relay/endpoint_source.ts
+++ b/src/relay/endpoint_source.ts
@@ -51,6 +51,8 @@
   ): Promise<Result<Endpoint, RequestError>>;
   /** Records what an endpoint says of itself in a response. */
   noteResponse(endpoint: Endpoint, response: NotedResponse): void;
+  /** Records that no connection to an endpoint could be opened. */
+  noteUnreachable(endpoint: Endpoint): void;
   /** Records that an endpoint refused a request because it was full or lacked the model. */
   noteRefused(request: RoutedRequest, endpoint: Endpoint): void;
 }
--- a/src/testing/exchange_fleet.ts
+++ b/src/testing/exchange_fleet.ts
@@ -117,7 +117,7 @@
       },
       crashTracker: {receive: () => undefined},
       promptParts: {receive: () => undefined},
-      limits: {receive: () => undefined},
+      limits: {receiveAnnouncement: () => undefined},
       permits: {
         answer: () => Promise.resolve(),
         receive: () => undefined,
