--- a/src/engines/_limited_endpoints.ts
+++ b/src/engines/_limited_endpoints.ts
@@ -1,5 +1,5 @@
 import type {Endpoint, EndpointRegistry} from '../fleet/mod.ts';
-import type {EndpointLimits, Permit, PermitBroker} from '../permits/mod.ts';
+import type {EndpointLimits, PermitBroker} from '../permits/mod.ts';
 import type {NotedResponse, RoutedRequest} from '../relay/mod.ts';
 import {type Clock, sleep} from '../time/mod.ts';
 import type {ColdEngines} from './cold_engines.ts';
@@ -120,31 +120,22 @@
         incarnation,
         isCold && hasOther ? 0 : horizon,
       );
-      const at = permit.kind === 'granted' ? permit.at : permit.returnAt;
-      // The permits of a cold endpoint are granted a short time ahead, so a request that
-      // is denied one asks again at its turn.
-      const mayAskAgain = isCold && !hasOther && at < giveUpAt;
-      if (permit.kind === 'denied' && !mayAskAgain) return at;
-      const delay = at - clock.monotonicMilliseconds();
+      if (permit.kind === 'denied') return permit.returnAt;
+      const delay = permit.at - clock.monotonicMilliseconds();
       if (delay > 0) await sleep(clock, delay, signal);
       const now = clock.monotonicMilliseconds();
       // The endpoint may have begun to leave meanwhile.
       if (!registry.usable(request.service.name).includes(endpoint)) return now;
       if (isCold && signal.aborted) return now;
-      if (this.isValid(permit, incarnation, isCold)) return undefined;
+      if (this.isValid(permit.at, incarnation, isCold)) return undefined;
     }
   }
 
-  /** Whether a request may be sent with a permit now. */
-  private isValid(
-    permit: Permit,
-    incarnation: string,
-    wasCold: boolean,
-  ): boolean {
-    if (permit.kind === 'denied') return false;
+  /** Whether a request may be sent now with a permit for a time. */
+  private isValid(at: number, incarnation: string, wasCold: boolean): boolean {
     const {clock, limits} = this.options;
     // A permit of a named limit says nothing of a cold phase that has begun meanwhile.
     if (!wasCold) return limits.coldPhaseOf(incarnation) === undefined;
-    return clock.monotonicMilliseconds() <= permit.at + LATE_MILLISECONDS;
+    return clock.monotonicMilliseconds() <= at + LATE_MILLISECONDS;
   }
 }
--- a/src/entry/store_followers_test.ts
+++ b/src/entry/store_followers_test.ts
@@ -32,6 +32,10 @@
   name: string;
   value: Buffer | undefined;
   isPublished: boolean;
+  /** Row before the change. @default that of a warm endpoint */
+  before?: Buffer;
+  /** Services of the configuration; it is unknown if undefined. */
+  services?: object[];
 }
 
 const CASES: Case[] = [
@@ -40,6 +44,36 @@
   // and the others used the endpoint for more than 2 s.
   {name: 'removed', value: undefined, isPublished: true},
   {name: 'restarted', value: endpoint('ready', {born: 2}), isPublished: true},
+  // Hosts that are not told send to a cold engine as to a warm one.
+  {
+    name: 'cold',
+    value: endpoint('ready', {cold_remaining_ms: 3000}),
+    isPublished: true,
+  },
+  {
+    name: 'cold, of a service without a cold phase',
+    value: endpoint('ready', {cold_remaining_ms: 3000}),
+    services: [{name: 'plain'}],
+    isPublished: false,
+  },
+  {
+    name: 'still cold',
+    before: endpoint('ready', {cold_remaining_ms: 3000}),
+    value: endpoint('ready', {cold_remaining_ms: 2500}),
+    isPublished: false,
+  },
+  {
+    name: 'cold again before the end of its phase',
+    before: endpoint('ready', {cold_remaining_ms: 500}),
+    value: endpoint('ready', {cold_remaining_ms: 3000}),
+    isPublished: true,
+  },
+  {
+    name: 'warm again',
+    before: endpoint('ready', {cold_remaining_ms: 500}),
+    value: endpoint('ready'),
+    isPublished: true,
+  },
   {
     name: 'alive as before',
     value: endpoint('ready', {sequence: 9, available: {on_disk: ['m']}}),
@@ -80,6 +114,11 @@
     },
   };
   const published: TableUpdate[] = [];
+  const configuration = new ConfigurationSource({
+    platform,
+    logger: SILENT_LOGGER,
+    onApplied: () => undefined,
+  });
   const followers = new StoreFollowers({
     platform: {...platform, store},
     clock,
@@ -87,11 +126,7 @@
     storeEra: new StoreEra(),
     isConnected: () => false,
     logger: SILENT_LOGGER,
-    configuration: new ConfigurationSource({
-      platform,
-      logger: SILENT_LOGGER,
-      onApplied: () => undefined,
-    }),
+    configuration,
     endpoints: new EndpointRegistry({
       clock,
       logger: SILENT_LOGGER,
@@ -118,6 +153,7 @@
   await clock.advanceAsync(1000);
   return {
     clock,
+    configuration,
     followers,
     /** Changes the row of the endpoint; the next call of the host returns it. */
     write: (value: Buffer | undefined) => {
@@ -152,13 +188,26 @@
 
 test.each(CASES)(
   'an endpoint that is $name is published: $isPublished',
-  async ({value, isPublished}) => {
-    const {clock, followers, write, takePublished} = await startReader();
+  async ({value, isPublished, before, services}) => {
+    const {clock, configuration, followers, write, takePublished} =
+      await startReader();
+    if (services !== undefined) {
+      configuration.applyIfNewer(
+        Buffer.from(JSON.stringify({version: 1, services})),
+        {origin: 'store', ageMilliseconds: 0, era: 0},
+      );
+    }
+    if (before !== undefined) {
+      write(before);
+      await clock.advanceAsync(1000);
+    }
     takePublished();
     write(value);
     await clock.advanceAsync(1000);
     followers.stop();
-    expect(takePublished()).toEqual(isPublished ? [2] : []);
+    expect(takePublished()).toEqual(
+      isPublished ? [before === undefined ? 2 : 3] : [],
+    );
   },
 );
 
--- a/src/permits/_steady_share.ts
+++ b/src/permits/_steady_share.ts
@@ -1,7 +1,7 @@
 /**
- * Time for which a share must have been held before it is granted from. The limit holds
- * for any one second, and a permit of the former granter may be used up to 500 ms after
- * it was granted: 250 ms ahead and 250 ms on its way.
+ * Time for which a share must have been held before it is granted from. A permit of the
+ * former granter is used up to 1,250 ms after it was granted: 1,000 ms ahead and 250 ms
+ * on its way. Hosts that disagree on who grants have the rest of the time to agree.
  */
 const STEADY_MILLISECONDS = 1500;
 
--- a/src/permits/permit_broker.ts
+++ b/src/permits/permit_broker.ts
@@ -51,11 +51,10 @@
 const SILENT_MILLISECONDS = 2000;
 
 /**
- * Time ahead for which permits of a cold endpoint are granted. A host that gets no answer
- * waits as long until it uses its share, so no permits of a granter that has ended are
- * left by then.
+ * Time ahead for which permits of a cold endpoint are granted at most: they are used
+ * although their granter has ended. Its successor waits longer (`SteadyShare`).
  */
-const COLD_HORIZON_MILLISECONDS = ANSWER_TIMEOUT_MILLISECONDS;
+const COLD_HORIZON_MILLISECONDS = 1000;
 
 /** Time after which a request for a cold endpoint that nobody grants may return. */
 const COLD_RETURN_MILLISECONDS = 250;
@@ -125,17 +124,13 @@
     from: string,
     question: PeerMessageOf<'permit_request'>,
   ): Promise<void> {
-    const {clock, limits, isStandbyHost, send} = this.options;
+    const {clock, isStandbyHost, send} = this.options;
     const {id, incarnation, horizonMilliseconds} = question;
     this.learnLimits(question);
-    const isCold = limits.coldPhaseOf(incarnation) !== undefined;
-    // An active host takes this one for the granter, also if it is not. Two hosts that
-    // grant permits for a cold endpoint could exceed its limit.
+    // An active host takes this one for the granter, also if it is not.
     const permit = isStandbyHost(from)
       ? await this.acquire(incarnation, horizonMilliseconds)
-      : isCold && !this.isGranter(incarnation)
-        ? this.denyCold()
-        : this.grant(incarnation, horizonMilliseconds);
+      : this.grant(incarnation, horizonMilliseconds);
     const now = clock.monotonicMilliseconds();
     const at = permit.kind === 'granted' ? permit.at : permit.returnAt;
     send(from, {
