--- a/src/testing/platform_endpoint_stand_in.ts
+++ b/src/testing/platform_endpoint_stand_in.ts
@@ -73,6 +73,8 @@
   trouble: EndpointTrouble = 'none';
   /** Body of the answers that are no streams. */
   answerBody = 'the whole answer';
+  /** Time for which the next row says that the endpoint is cold. */
+  coldMilliseconds = 0;
   /** Time that a run takes. */
   runMilliseconds = 0;
   /** Delay before an answer that says that the request did not run. */
@@ -159,7 +161,7 @@
       version: 'v1',
       slots: 4,
       state,
-      cold_remaining_ms: 0,
+      cold_remaining_ms: this.coldMilliseconds,
       stage: 'combined',
       models: this.heldModels(),
       available: {in_memory: [], on_disk: []},
