--- a/src/testing/cold_fleet.ts
+++ b/src/testing/cold_fleet.ts
@@ -20,12 +20,15 @@
 const ENGINE = 'engine-1';
 const OTHER = 'engine-2';
 
+/** Duration of a cold phase; long enough for a fault in it and its end. */
+export const COLD_MILLISECONDS = 12_000;
+
 /** Service of the only engine; its limit is 26 requests in any one second. */
 const SERVICE: ServiceConfiguration = {
   name: 'engines',
   connectionLimit: 100,
   engines: undefined,
-  coldStart: {durationMilliseconds: 12_000, requestsPerSecond: 14},
+  coldStart: {durationMilliseconds: COLD_MILLISECONDS, requestsPerSecond: 14},
 };
 
 const COLD_ENGINES = {overrun: 1.5, slack: 5} as const;
@@ -49,7 +52,7 @@
   isDown = false;
   /** Group of each host; messages between groups are lost from {@link splitAt} on. */
   group: (host: number) => number = () => 0;
-  splitAt = Number.POSITIVE_INFINITY;
+  private splitAt = Number.POSITIVE_INFINITY;
   /** Host that a host does not take for a granter yet. */
   hiddenFrom: (host: number) => number | undefined = () => undefined;
   /** Longest time that a request can wait for its first token. */
@@ -175,7 +178,14 @@
     this.hosts[host]?.clock.pause();
   }
 
+  /** Loses all messages between groups from now on. */
+  split(group: (host: number) => number): void {
+    this.splitAt = this.clock.monotonicMilliseconds();
+    this.group = group;
+  }
+
   thaw(host: number): void {
+    if (!this.frozenAt.has(host)) return;
     this.frozenAt.delete(host);
     this.thawedAt.set(host, this.clock.monotonicMilliseconds());
     this.hosts[host]?.clock.resume();
