--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -31,6 +31,7 @@
   type OrderedAdmissionOptions,
 } from '../admission/mod.ts';
 import {affinityKeyOf} from './_affinity_key_of.ts';
+import type {ColdEngines} from './cold_engines.ts';
 import {LimitedEndpoints} from './_limited_endpoints.ts';
 import {
   modelNotFound,
@@ -48,6 +49,7 @@
   replicas: ReplicaMap;
   limits: EndpointLimits;
   permits: PermitBroker;
+  coldEngines: Pick<ColdEngines, 'presume' | 'rateOf'>;
   /** Until when requests are sent to endpoints. */
   dispatchWindow: DispatchWindow;
   /** Tells all hosts that a process has said in a response that it leaves. */
@@ -153,21 +155,23 @@
       if (outcome?.kind === 'refused')
         return this.refuseWaiting(request, outcome);
       if (outcome?.kind === 'aborted') return notInTime(target);
+      const open = this.candidates(service.name, target, isModelRequest).filter(
+        isOpen,
+      );
       const chosen =
         outcome?.kind === 'admitted'
           ? outcome.endpoint
-          : this.choose(
-              this.candidates(service.name, target, isModelRequest).filter(
-                isOpen,
-              ),
-              request,
-              excluded,
-              preference,
-            );
+          : this.choose(open, request, excluded, preference);
       if (chosen !== undefined) {
         const waitsUntil = this.waitDeadline(request);
+        const hasOther =
+          this.limited.has(chosen) &&
+          open.some(
+            other =>
+              !excluded.has(other.incarnation) && this.limited.isOpen(other),
+          );
         const roomAt = await this.limited.roomAt(
-          {endpoint: chosen, request, waitsUntil},
+          {endpoint: chosen, request, waitsUntil, hasOther},
           signal,
         );
         if (roomAt === undefined) {
@@ -212,6 +216,10 @@
     this.limited.observe(endpoint, response);
   }
 
+  noteUnreachable(endpoint: Endpoint): void {
+    this.options.coldEngines.presume(endpoint);
+  }
+
   noteRefused(request: RoutedRequest, endpoint: Endpoint): void {
     this.options.replicas.recordRefusal(endpoint, targetOf(request.metadata));
   }
--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -113,6 +113,15 @@
     .describe(
       'When requests for loaded models are sent: `immediate` (at once) or `ordered` (while engines are full they wait in the hosts, the most urgent first). `immediate` unless the deployment calls for `ordered`.',
     ),
+  coldEngines: z
+    .object({
+      overrun: z.number().positive().default(1),
+      slack: z.number().nonnegative().default(0),
+    })
+    .default({overrun: 1, slack: 0})
+    .describe(
+      'Requests that a cold endpoint may get in any one second: its requests a second times `overrun`, plus `slack`.',
+    ),
   log: z
     .object({
       servedLinesPerSecond: z.number().int().positive().default(40),
--- a/src/platform/decode_test.ts
+++ b/src/platform/decode_test.ts
@@ -1,8 +1,10 @@
+import type {IncomingMessage} from 'node:http';
 import {describe, expect, test} from 'vitest';
 import {platformConfiguration} from '../testing/platform_deployment.ts';
 import {createPlatform} from './create_platform.ts';
 import {decodeConfiguration} from './decode_configuration.ts';
 import {decodeEndpoint} from './decode_endpoint.ts';
+import {PLATFORM_WIRE_FORMAT} from './platform_wire_format.ts';
 
 const ROW = {
   service: 'engines',
@@ -58,6 +60,7 @@
       state: 'ready',
       startedAt: 123,
       leavesInMilliseconds: undefined,
+      coldMilliseconds: 0,
       models: ROW.models,
       inMemory: ['model-b'],
       onDisk: ['model-c'],
@@ -88,6 +91,61 @@
   expect(platform.decodeEvacuation(key)).toBe(dataCentre);
 });
 
+// A wrong value must neither make an endpoint unusable nor limit it for hours.
+const COLD_VALUES: [unknown, number][] = [
+  [undefined, 0],
+  [2900, 2900],
+  [-1, 0],
+  ['2900', 0],
+  [1e300, 600_000],
+  [Infinity, 600_000],
+  [NaN, 0],
+];
+
+describe('cold phases', () => {
+  test.each(COLD_VALUES)('a row with %s: %d ms', (value, expected) => {
+    const record = decodeEndpoint('e', 1, {...ROW, cold_remaining_ms: value});
+    expect(record?.coldMilliseconds).toBe(expected);
+  });
+
+  const headers: [string, number | undefined][] = [
+    ['0', 0],
+    [' 2900 ', 2900],
+    ['-5', undefined],
+    ['soon', undefined],
+    ['9'.repeat(400), 600_000],
+  ];
+  // A negative or unreadable header must not end a known phase.
+  test.each(headers)('a response with Cold-Ms %s', (value, expected) => {
+    const response = {statusCode: 200, headers: {'cold-ms': value}};
+    const notice = PLATFORM_WIRE_FORMAT.readNotice(
+      response as unknown as IncomingMessage,
+    );
+    expect(notice.coldMilliseconds).toBe(expected);
+  });
+
+  const terms: [unknown, unknown, number[] | undefined][] = [
+    [3, 14, [3000, 14]],
+    [undefined, undefined, undefined],
+    [0, 14, undefined],
+    [3, 0, undefined],
+    [3, -14, undefined],
+    [-3, 14, undefined],
+    ['3', '14', undefined],
+    [1e300, 14, [600_000, 14]],
+    [3, Infinity, undefined],
+  ];
+  // An unreadable value must not limit a service to a rate of 0 or NaN.
+  test.each(terms)('a service with %s s and %s/s', (start, rate, expected) => {
+    const service = {name: 's', cold_start_s: start, cold_per_s: rate};
+    const document = {version: 1, services: [service]};
+    const cold = decodeConfiguration(document)?.services.get('s')?.coldStart;
+    expect(cold && [cold.durationMilliseconds, cold.requestsPerSecond]).toEqual(
+      expected,
+    );
+  });
+});
+
 describe('decodeConfiguration', () => {
   test.each([undefined, 'text', {}, {version: '7'}])(
     '%j is not a configuration',
--- a/src/relay/evacuated_endpoint_test.ts
+++ b/src/relay/evacuated_endpoint_test.ts
@@ -38,6 +38,7 @@
       isEvacuated: () => true,
       noteResponse: () => undefined,
       noteRefused: () => undefined,
+      noteUnreachable: () => undefined,
     },
   };
   const context: Partial<AttemptContext> = {
--- a/src/testing/managed_pool.ts
+++ b/src/testing/managed_pool.ts
@@ -42,6 +42,7 @@
     state: 'ready',
     startedAt: 1,
     leavesInMilliseconds: undefined,
+    coldMilliseconds: 0,
     models: [],
     inMemory: [],
     onDisk: ['model-a'],
@@ -80,6 +81,7 @@
   const service = {
     name: 'engines',
     connectionLimit: 10,
+    coldStart: undefined,
     engines: {
       slots: 1,
       weightsMegabytes: 2,
--- a/src/testing/routed_requests.ts
+++ b/src/testing/routed_requests.ts
@@ -17,6 +17,7 @@
   return {
     name: 'engines',
     connectionLimit: 10,
+    coldStart: undefined,
     engines: {
       slots: 1,
       weightsMegabytes: 2,
@@ -110,9 +111,12 @@
       isStandbyHost: () => false,
       grantedShare: () => 1,
       evenShare: () => 1,
+      coldShare: () => 1,
+      coldEngines: {overrun: 1, slack: 0},
       send: () => false,
       random: () => 0,
     }),
+    coldEngines: {presume: () => undefined, rateOf: () => undefined},
     dispatchWindow: new DispatchWindow(new RunDurations(clock)),
     clock,
     dataCentre: 'zone-a',
