Name no host of unknown state in look-ups of a host that has just started

Cause: a standby host that had just started took all active hosts of the table to be alive. Change: until it has been told which hosts are down, it names itself and its upstream host.

--- a/src/fleet/fleet_topology.ts
+++ b/src/fleet/fleet_topology.ts
@@ -45,6 +45,8 @@
   private preferred: readonly HostRow[] = [];
   /** Incarnation of each host that was found to be down. */
   private readonly down = new Map<string, string>();
+  /** Whether this host has found hosts to be down or has been told which ones are. */
+  private knowsDownHosts = false;
   /** Time since which each unconnected host was wanted as a peer. */
   private readonly missingSince = new Map<string, number>();
   private upstreamId: string | undefined;
@@ -96,6 +98,7 @@
    * a standby host has no connection to notice them itself.
    */
   adoptDownHosts(hostIds: readonly string[]): void {
+    this.knowsDownHosts = true;
     this.down.clear();
     for (const hostId of hostIds) {
       const row = this.options.hosts.get(hostId);
@@ -139,7 +142,11 @@
     if (!this.isActive) {
       const isSupplied =
         this.upstreamId !== undefined && connectedIds.has(this.upstreamId);
-      return isSupplied && others.length > 0 ? others : [...own, ...others];
+      if (!isSupplied || others.length === 0) return [...own, ...others];
+      // A standby host that has just started does not know yet which hosts are down.
+      return this.knowsDownHosts
+        ? others
+        : [...own, ...others.filter(({hostId}) => hostId === this.upstreamId)];
     }
     const reachable = others.filter(({hostId}) => connectedIds.has(hostId));
     return [...own, ...(reachable.length > 0 ? reachable : others)];
@@ -202,6 +209,7 @@
             ready.filter(({hostId}) => !this.down.has(hostId)),
             slots,
           );
+    if (this.down.size > 0) this.knowsDownHosts = true;
     const index = this.active.findIndex(({hostId}) => hostId === hosts.selfId);
     this.ownRank = index < 0 ? undefined : index;
   }
--- a/src/fleet/fleet_topology_test.ts
+++ b/src/fleet/fleet_topology_test.ts
@@ -180,4 +180,36 @@
     const named = fleet.topologies[standby]!.callerHosts();
     expect(named.map(({hostId}) => hostId)).toContain(ownId);
   });
+
+  // Guards against look-ups that name a host which has long been off: a standby host
+  // that had just started took all active hosts of the table to be alive (DRAIN).
+  test('a standby host that has just started names no host that is off', () => {
+    const clock = new ManualClock();
+    const rows = Array.from({length: 60}, (_unused, index) => row(index));
+    const connected = new Set<string>();
+    const topologyOf = (self: HostRow) => {
+      const hosts = new HostRegistry({hostId: self.hostId, self: () => self});
+      hosts.applySnapshot(rows);
+      const topology = new FleetTopology({
+        clock,
+        hosts,
+        connected: () => connected,
+        endpointSlots: () => 1000,
+      });
+      topology.refresh();
+      return topology;
+    };
+    const active = activeIds(topologyOf(rows[0]!));
+    const standby = rows.find(({hostId}) => !active.includes(hostId))!;
+    const topology = topologyOf(standby);
+    const [off] = active;
+    for (const hostId of active) if (hostId !== off) connected.add(hostId);
+    topology.refresh();
+    const named = () => topology.callerHosts().map(({hostId}) => hostId);
+    expect(named()).not.toContain(off);
+    expect(named()).toContain(standby.hostId);
+    topology.adoptDownHosts([off!]);
+    expect(named()).not.toContain(off);
+    expect(named().length).toBeGreaterThan(2);
+  });
 });
