Refuse no burst of one host while engines are idle

Cause: the time that a request has to wait was estimated from the equal share of the host alone. At 74 hosts and idle engines a burst of six interactive requests at one host was sent twice and refused four times. Change: free slots below the level of a request count as places, weighted with the free part of all slots, so that nothing changes while engines are full. Result: three cases of admission_share_test.ts were red and pass; ordered_admission_test.ts passes.

--- a/src/admission/ordered_admission.ts
+++ b/src/admission/ordered_admission.ts
@@ -233,7 +233,8 @@
     const latestStart = Math.max(...rivals.map(({terms}) => terms.lastStartAt));
     const servable = (wait.queuePerSecond * (latestStart - now)) / 1000;
     const last = rivals.at(-1);
-    if (last !== undefined && rivals.length > 1 + atMost(servable))
+    const limit = 1 + atMost(servable) + wait.spareSlots;
+    if (last !== undefined && rivals.length > limit)
       this.refuse(last, 'queue_full');
   }
 
@@ -262,13 +263,17 @@
       ? places.onTimePerSecond
       : places.latePerSecond;
     const inTime = (placesPerSecond * Math.max(0, lastStartAt - now)) / 1000;
+    const level = admissionLevel(entry.terms, now);
+    // Without these, a burst at one of many hosts is refused while engines are idle.
+    const spareSlots = this.room.spareSlots({candidates, level});
     return {
       candidates,
       before,
       placesPerSecond,
       milliseconds: (before * 1000) / placesPerSecond,
       queuePerSecond: places.onTimePerSecond,
-      isTooLong: before > atMost(inTime),
+      spareSlots,
+      isTooLong: before > atMost(inTime) + spareSlots,
     };
   }
 
--- a/src/admission/room_share.ts
+++ b/src/admission/room_share.ts
@@ -94,6 +94,17 @@
       : Math.min(...candidates.map(endpoint => this.occupancy(endpoint)));
   }
 
+  /**
+   * Free slots below a level that this host can count on within a few windows, since
+   * its share follows its requests. They are weighted with the free part of all slots:
+   * few free slots are taken by the waiting requests of the other hosts as well.
+   */
+  spareSlots({candidates, level}: Omit<RoomClaim, 'isImmediate'>): number {
+    const room = this.roomBelow(candidates, level);
+    if (room <= 0) return 0;
+    return room ** 2 / (this.slotsOf(candidates) * this.options.slotShare());
+  }
+
   /** Whether this host may send one more request now. */
   allows({candidates, level, isImmediate}: RoomClaim): boolean {
     const kind = isImmediate ? 'immediate' : 'patient';
--- /dev/null
+++ b/src/engines/admission_share_test.ts
@@ -0,0 +1,54 @@
+import {expect, test} from 'vitest';
+import {
+  AdmissionFleet,
+  type CallerRequest,
+} from '../testing/admission_fleet.ts';
+import {ManualClock} from '../testing/manual_clock.ts';
+
+const INTERACTIVE: CallerRequest = {
+  kind: 'interactive',
+  host: 5,
+  team: 'team-a',
+  priority: 1,
+  objectiveMilliseconds: 500,
+  timeoutMilliseconds: 6000,
+  runMilliseconds: 2000,
+};
+
+const DEFERRED: CallerRequest = {
+  kind: 'deferred',
+  host: 5,
+  team: 'team-b',
+  priority: 5,
+  objectiveMilliseconds: 3000,
+  timeoutMilliseconds: 17_000,
+  runMilliseconds: 2000,
+};
+
+// Guards against a burst at one of many hosts that is refused although engines are idle,
+// since the equal share of the host is tiny.
+test.each([
+  {caller: INTERACTIVE, engines: 1},
+  {caller: INTERACTIVE, engines: 4},
+  {caller: DEFERRED, engines: 1},
+])(
+  'a burst at one of 74 hosts is on time: $caller.kind, idle engines: $engines',
+  async ({caller, engines}) => {
+    const clock = new ManualClock();
+    const fleet = new AdmissionFleet({
+      clock,
+      hosts: 74,
+      engines,
+      slots: 12,
+      admission: 'ordered',
+    });
+    for (let count = 0; count < 6 + 2 * engines; count++)
+      clock.startTimer(3000 + 2 * count, () => void fleet.send(caller));
+    await clock.advanceAsync(15_000);
+    const refused = fleet
+      .of(caller.kind)
+      .filter(({refusedAt}) => refusedAt !== undefined);
+    expect(refused).toEqual([]);
+    expect(fleet.onTime(caller.kind)).toBe(1);
+  },
+);
