Give a number as Retry-After when all engines are closed

Cause: a request that expired at a moment without an open engine was refused with NaN milliseconds, since its share of no slots was 0 divided by 0. NaN also kept the refused request as demand for ever. Change: the share of no slots is the equal one, and the places a second are above 0. Result: the new test in admission_share_test.ts was red (NaN) and passes.

--- a/src/admission/place_estimate.ts
+++ b/src/admission/place_estimate.ts
@@ -74,7 +74,8 @@
     }
     const runsPerSecond = (slots * 1000) / input.expectedMilliseconds;
     const capacity = runsPerSecond * input.share * input.slotShare;
-    const places = Math.max(sums.ended, capacity);
+    // Without candidates there are none, by which nothing could be divided.
+    const places = Math.max(sums.ended, capacity, Number.EPSILON);
     const {immediate, on_time: onTime, other} = sums;
     const all = immediate + onTime + other;
     const partOf = (rate: number) => Math.max(MINIMUM_PART, rate / all);
--- a/src/admission/room_share.ts
+++ b/src/admission/room_share.ts
@@ -181,7 +181,7 @@
       own += known;
       all += known + endpoint.peerInFlight;
     }
-    const prior = this.slotsOf(candidates) * PRIOR_SHARE;
+    const prior = Math.max(1, this.slotsOf(candidates)) * PRIOR_SHARE;
     const even = Math.min(1, this.options.evenShare());
     return (own + even * prior) / (all + prior);
   }
--- a/src/engines/admission_share_test.ts
+++ b/src/engines/admission_share_test.ts
@@ -52,3 +52,29 @@
     expect(fleet.onTime(caller.kind)).toBe(1);
   },
 );
+// Guards against a Retry-After that is not a number, and against demand that is counted
+// for ever, when no engine takes requests at the moment at which a request expires.
+test('a request that expires while all engines are closed can be retried', async () => {
+  const clock = new ManualClock();
+  const fleet = new AdmissionFleet({
+    clock,
+    hosts: 1,
+    engines: 1,
+    slots: 12,
+    admission: 'ordered',
+  });
+  for (let count = 0; count < 15; count++)
+    void fleet.send({...INTERACTIVE, runMilliseconds: 20_000});
+  // Expires 30 ms after a report, at 0.92 of its time-out.
+  void fleet.send({...DEFERRED, timeoutMilliseconds: 5030 / 0.92});
+  await clock.advanceAsync(5010);
+  const [host] = fleet.hosts;
+  for (const {condition} of host?.registry.all() ?? [])
+    condition.recordClosed(clock.monotonicMilliseconds() + 1000);
+  await clock.advanceAsync(100);
+  const [expired] = fleet.of('deferred');
+  expect(expired?.refusedAt).toBeDefined();
+  expect(expired?.retryAfterMilliseconds).toBeGreaterThan(0);
+  await clock.advanceAsync(10_000);
+  expect(host?.router.waiting().filter(({isHeld}) => !isHeld)).toEqual([]);
+});
