Compute the known share of the slots once for each count

Cause: the share is found from the connections to all hosts, and was asked for by each waiting request and engine in each pass over the queue. Change: it is read when the counts arrive, to which it belongs. The new test in admission_share_test.ts was red with 640 computations for one report and passes.

--- a/src/admission/room_share.ts
+++ b/src/admission/room_share.ts
@@ -51,6 +51,8 @@
   private draws = 0;
   private readonly firstDraw: number;
   private rounding: number;
+  /** Share of the slots at the time of the counts; undefined before the first. */
+  private countedShare: number | undefined;
 
   constructor(private readonly options: RoomShareOptions) {
     this.rounding = fraction(`${options.hostId} 0`);
@@ -60,6 +62,7 @@
   /** Starts to count anew, since new counts of the other hosts have arrived. */
   startWindow(): void {
     this.windows++;
+    this.countedShare = this.options.slotShare();
     this.rounding = fraction(`${this.options.hostId} ${this.windows}`);
     this.previous = this.current;
     this.current = new Window();
@@ -74,8 +77,7 @@
 
   /** Occupancy of the part of an endpoint's slots whose use this host knows of. */
   occupancy(endpoint: Endpoint): number {
-    const {slotShare} = this.options;
-    return endpoint.occupancy / Math.max(Number.EPSILON, slotShare());
+    return endpoint.occupancy / Math.max(Number.EPSILON, this.slotShare);
   }
 
   /** Candidates to which a request of a level may be sent; none if there is no room. */
@@ -90,7 +92,7 @@
     const slots = this.slotsOf(candidates);
     const free = this.roomBelow(candidates, 1);
     return free > 0
-      ? 1 - free / (slots * this.options.slotShare())
+      ? 1 - free / (slots * this.slotShare)
       : Math.min(...candidates.map(endpoint => this.occupancy(endpoint)));
   }
 
@@ -102,7 +104,7 @@
   spareSlots({candidates, level}: Omit<RoomClaim, 'isImmediate'>): number {
     const room = this.roomBelow(candidates, level);
     if (room <= 0) return 0;
-    return room ** 2 / (this.slotsOf(candidates) * this.options.slotShare());
+    return room ** 2 / (this.slotsOf(candidates) * this.slotShare);
   }
 
   /** Whether this host may send one more request now. */
@@ -147,7 +149,7 @@
    */
   private roomBelow(candidates: readonly Endpoint[], level: number): number {
     const limit = Math.max(1, level);
-    const slotShare = this.options.slotShare();
+    const {slotShare} = this;
     let room = (level - limit) * this.slotsOf(candidates) * slotShare;
     for (const endpoint of candidates) {
       const free = Math.max(0, limit - this.occupancy(endpoint));
@@ -156,6 +158,14 @@
     return room;
   }
 
+  /**
+   * The share belongs to the counts and changes with them. It is not asked for anew for
+   * each waiting request and engine, since that takes time in proportion to the hosts.
+   */
+  private get slotShare(): number {
+    return this.countedShare ?? this.options.slotShare();
+  }
+
   private slotsOf(candidates: readonly Endpoint[]): number {
     return candidates.reduce(
       (sum, {record}) => sum + Math.max(1, record.slots),
@@ -171,7 +181,7 @@
    */
   shareOf(candidates: readonly Endpoint[]): number {
     // A host without reports has its part of the slots for itself.
-    if (this.options.slotShare() < 1) return 1;
+    if (this.slotShare < 1) return 1;
     let own = 0;
     let all = 0;
     for (const endpoint of candidates) {
--- a/src/engines/admission_share_test.ts
+++ b/src/engines/admission_share_test.ts
@@ -78,3 +78,31 @@
   await clock.advanceAsync(10_000);
   expect(host?.router.waiting().filter(({isHeld}) => !isHeld)).toEqual([]);
 });
+
+// Guards against a report that takes a second: the share is found from the connections
+// to all hosts, and was asked for by each waiting request and engine.
+test('the share of the slots is not computed for each waiting request', async () => {
+  const clock = new ManualClock();
+  const fleet = new AdmissionFleet({
+    clock,
+    hosts: 1,
+    engines: 10,
+    slots: 1,
+    admission: 'ordered',
+  });
+  for (let count = 0; count < 30; count++) void fleet.send(DEFERRED);
+  await clock.advanceAsync(100);
+  const [host] = fleet.hosts;
+  if (host === undefined) throw new Error('No host');
+  expect(host.router.waiting()[0]?.requests).toBeGreaterThan(10);
+  let computed = 0;
+  Object.defineProperty(host, 'isCutOff', {
+    get: () => {
+      computed++;
+      return false;
+    },
+  });
+  host.router.countsUpdated();
+  expect(computed).toBeGreaterThan(0);
+  expect(computed).toBeLessThan(5);
+});
