Examine full engines once in a pass over the waiting requests

Cause: each waiting request examined all engines that have its model, and each arrival compared them with those of all other requests, with the same result for one target.

--- a/src/admission/_waiting_request.ts
+++ b/src/admission/_waiting_request.ts
@@ -1,7 +1,12 @@
 import type {Endpoint, WaitingCount} from '../fleet/mod.ts';
 import type {RoutedRequest} from '../relay/mod.ts';
-import type {AdmissionTerms} from './admission_level.ts';
+import {
+  type AdmissionTerms,
+  isImmediate,
+  onTimeUntil,
+} from './admission_level.ts';
 import type {AdmissionOutcome} from './admission_outcome.ts';
+import type {PlaceKind} from './place_estimate.ts';
 
 /** A request that asks for room. */
 export interface AdmissionCandidate {
@@ -81,3 +86,12 @@
   }
   return [...counts.values()];
 }
+
+/** Kind of the place that a request gets now. */
+export function placeKind(
+  {terms, since}: WaitingRequest,
+  now: number,
+): PlaceKind {
+  if (isImmediate(terms, now)) return 'immediate';
+  return since < now && now <= onTimeUntil(terms) ? 'on_time' : 'other';
+}
--- a/src/admission/ordered_admission.ts
+++ b/src/admission/ordered_admission.ts
@@ -8,6 +8,7 @@
   type AdmissionCandidate,
   admissionTerms,
   countWaiting,
+  placeKind,
   type WaitingRequest,
 } from './_waiting_request.ts';
 import {Reservations} from './_reservations.ts';
@@ -19,7 +20,7 @@
   reachesLevelAt,
 } from './admission_level.ts';
 import type {AdmissionOutcome, RefusalReason} from './admission_outcome.ts';
-import {PlaceEstimate, type PlaceKind} from './place_estimate.ts';
+import {PlaceEstimate} from './place_estimate.ts';
 import {RETURN_SHARE, ReturnSchedule} from './return_schedule.ts';
 import {RoomShare} from './room_share.ts';
 import {WaitingQueue} from './waiting_queue.ts';
@@ -157,6 +158,8 @@
     const holders = new Map<string, readonly Endpoint[]>();
     let replaceable = freed;
     let wakeAt = Number.POSITIVE_INFINITY;
+    // Level for room at the same candidates; most requests wait for the same ones.
+    const levelNeeded = new Map<readonly Endpoint[], number>();
     for (const entry of this.queue.ordered(now)) {
       const {terms} = entry;
       if (terms.lastStartAt <= now) {
@@ -168,8 +171,15 @@
         entry.settle({kind: 'no_candidate'});
         continue;
       }
-      const endpoint = this.placeFor(entry, candidates, replaceable);
+      const needed =
+        levelNeeded.get(candidates) ?? this.room.levelNeeded(candidates);
+      levelNeeded.set(candidates, needed);
+      const endpoint =
+        admissionLevel(terms, now) > needed
+          ? this.placeFor(entry, candidates, replaceable)
+          : undefined;
       if (endpoint !== undefined) {
+        levelNeeded.clear();
         this.reservations.add(endpoint, now);
         const kind = placeKind(entry, now);
         this.places.recordPlace(endpoint, kind, now);
@@ -178,7 +188,6 @@
         entry.settle({kind: 'admitted', endpoint});
         continue;
       }
-      const needed = this.room.levelNeeded(candidates);
       const risesAt = reachesLevelAt(terms, needed, now);
       wakeAt = Math.min(wakeAt, terms.lastStartAt);
       // What the level allows already waits for the next counts.
@@ -286,7 +295,8 @@
     const wanted = new Set(this.candidatesOf(entry, holders));
     return ordered.filter(
       other =>
-        other === entry ||
+        // One target has the same engines, which need not be compared again.
+        (other.service === entry.service && other.target === entry.target) ||
         this.candidatesOf(other, holders).some(endpoint =>
           wanted.has(endpoint),
         ),
@@ -349,7 +359,9 @@
     const key = `${service} ${target}`;
     const known = holders.get(key) ?? this.options.holders(service, target);
     holders.set(key, known);
-    return known.filter(candidate.isAllowed);
+    return known.every(candidate.isAllowed)
+      ? known
+      : known.filter(candidate.isAllowed);
   }
 
   private termsOf(request: RoutedRequest): AdmissionTerms {
@@ -385,8 +397,3 @@
       return unreachable(outcome);
   }
 }
-
-function placeKind({terms, since}: WaitingRequest, now: number): PlaceKind {
-  if (isImmediate(terms, now)) return 'immediate';
-  return since < now && now <= onTimeUntil(terms) ? 'on_time' : 'other';
-}
