Return the cost of requests that no endpoint has run

Cause: a team above its rate was charged for requests that were refused for want of an engine, and again when their callers returned. Change: the cost of a request that did not run is returned within 500 ms, with the setting unservedRequests, which deployments with shared engine pools call for.

--- a/src/entry/_bind_requests.ts
+++ b/src/entry/_bind_requests.ts
@@ -119,6 +119,7 @@
         clock,
         rateShare: () => shares().ofKnownSpending(),
         startsFull: settings.isFirstStart,
+        refundsUnserved: settings.unservedRequests === 'refunded',
       }),
   );
   container.bind(CrashTracker).toDynamicValue(
--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -94,6 +94,12 @@
     .describe(
       'Whether the time between the orders of two managers is kept for the whole pool or for each engine; `pool` unless the deployment calls for `engine`.',
     ),
+  unservedRequests: z
+    .enum(['charged', 'refunded'])
+    .optional()
+    .describe(
+      'Whether a request that no endpoint has run counts towards the rate of its team; `charged` unless the deployment calls for `refunded`.',
+    ),
   replicaLoads: z
     .enum(['successive', 'parallel'])
     .optional()
@@ -137,5 +143,5 @@
 /** Settings that a deployment can call for without naming them. */
 export type EntryFeatures = Pick<
   EntrySettings,
-  'admission' | 'balancing' | 'handover' | 'replicaLoads'
+  'admission' | 'balancing' | 'handover' | 'replicaLoads' | 'unservedRequests'
 >;
--- a/src/limits/fleet_rate_limiter.ts
+++ b/src/limits/fleet_rate_limiter.ts
@@ -23,8 +23,16 @@
    * full.
    */
   startsFull: boolean;
+  /** Whether the cost of requests that did not run is returned. @default false */
+  refundsUnserved?: boolean;
 }
 
+/**
+ * Time for which a cost can be returned. Later, the tokens would add to those that the
+ * team has earned meanwhile: at most its rate over this time in any period.
+ */
+const REFUND_MILLISECONDS = 500;
+
 interface TeamBucket {
   level: number;
   refilledAt: number;
@@ -78,6 +86,25 @@
     return 0;
   }
 
+  /**
+   * Returns the cost of a request that no endpoint has run, if it was taken a moment
+   * ago. The other hosts, which have debited it, leave out as much of what this host
+   * spends next.
+   *
+   * Load condition: a team above its rate whose requests are also refused for want of
+   * engines. Without refunds it gets less than its rate.
+   */
+  refund(team: TeamConfiguration, cost: number, takenAt: number): void {
+    const {clock, refundsUnserved} = this.options;
+    const elapsed = clock.monotonicMilliseconds() - takenAt;
+    const spent = this.spent.get(team.name);
+    if (refundsUnserved !== true || spent === undefined) return;
+    if (team.ratePerSecond <= 0 || elapsed > REFUND_MILLISECONDS) return;
+    const bucket = this.refill(team);
+    bucket.level = Math.min(team.burst, bucket.level + cost);
+    this.spent.set(team.name, Math.max(0, spent - cost));
+  }
+
   /** Returns the spending of this host, to be reported to the other hosts. */
   spending(): readonly TeamSpending[] {
     return [...this.spent].map(([team, tokens]) => ({
--- a/src/limits/fleet_rate_limiter_test.ts
+++ b/src/limits/fleet_rate_limiter_test.ts
@@ -127,6 +127,52 @@
     expect(limiter.take(TEAM, 2500)).toBe(0);
     expect(limiter.take(TEAM, 100)).toBeGreaterThan(0);
   });
+
+  // Guards against a team above its rate that gets less than it, since requests which
+  // no engine ran were charged; and against refunds that take it above its rate.
+  test.each([
+    {name: 'charged', refundsUnserved: false, delay: 0, expected: 0.5},
+    {name: 'refunded', refundsUnserved: true, delay: 0, expected: 1},
+    {
+      name: 'refunded too late',
+      refundsUnserved: true,
+      delay: 600,
+      expected: 0.5,
+    },
+  ])('requests that did not run are $name', entry => {
+    const clock = new ManualClock();
+    const limiters = Array.from({length: 8}, () => {
+      const limiter = new FleetRateLimiter({
+        clock,
+        rateShare: () => 1,
+        startsFull: true,
+        refundsUnserved: entry.refundsUnserved,
+      });
+      limiter.configure([TEAM]);
+      return limiter;
+    });
+    const seconds = 20;
+    let ran = 0;
+    let taken = 0;
+    for (let step = 0; step < seconds * 10; step++) {
+      clock.advance(100);
+      for (const limiter of limiters) {
+        if (limiter.take(TEAM, 50) > 0) continue;
+        // Every second request finds no engine.
+        if (taken++ % 2 === 0) ran += 50;
+        else
+          limiter.refund(TEAM, 50, clock.monotonicMilliseconds() - entry.delay);
+      }
+      for (const [from, limiter] of limiters.entries()) {
+        for (const [to, other] of limiters.entries())
+          if (from !== to) other.receive(`host-${from}`, limiter.spending());
+      }
+    }
+    const allowed = TEAM.ratePerSecond * seconds + TEAM.burst;
+    expect(ran / allowed).toBeLessThanOrEqual(1.1);
+    expect(ran / allowed).toBeGreaterThan(entry.expected * 0.85);
+    if (entry.expected < 1) expect(ran / allowed).toBeLessThan(0.65);
+  });
 });
 
 function exchange(limiters: readonly FleetRateLimiter[]): void {
--- a/src/platform/deployment_features.ts
+++ b/src/platform/deployment_features.ts
@@ -6,7 +6,12 @@
  * compete for room.
  */
 const FEATURES_BY_NAME: Readonly<Record<string, EntryFeatures>> = {
-  pool: {balancing: 'even', handover: 'engine', replicaLoads: 'parallel'},
+  pool: {
+    balancing: 'even',
+    handover: 'engine',
+    replicaLoads: 'parallel',
+    unservedRequests: 'refunded',
+  },
   pressure: {admission: 'ordered'},
 };
 
--- a/src/platform/deployment_features_test.ts
+++ b/src/platform/deployment_features_test.ts
@@ -12,6 +12,7 @@
       balancing: 'even',
       handover: 'engine',
       replicaLoads: 'parallel',
+      unservedRequests: 'refunded',
     },
   },
   {
@@ -21,6 +22,7 @@
       balancing: 'even',
       handover: 'engine',
       replicaLoads: 'parallel',
+      unservedRequests: 'refunded',
     },
   },
 ])('a deployment with $names calls for $expected', ({names, expected}) => {
--- a/src/relay/relay_options.ts
+++ b/src/relay/relay_options.ts
@@ -16,6 +16,12 @@
    * @returns 0 if the request is admitted, else the milliseconds to wait.
    */
   take(team: TeamConfiguration, cost: number): number;
+  /**
+   * Returns the cost of a request that no endpoint has run.
+   *
+   * @param takenAt Monotonic time at which it was taken.
+   */
+  refund?(team: TeamConfiguration, cost: number, takenAt: number): void;
 }
 
 /** Limits retries. */
--- a/src/relay/request_relay.ts
+++ b/src/relay/request_relay.ts
@@ -183,7 +183,19 @@
     log.admittedAfterMilliseconds =
       this.options.clock.monotonicMilliseconds() - arrivedAt;
     log.target = metadata.model ?? '';
-    return loop.run();
+    const takenAt = clock.monotonicMilliseconds();
+    const error = await loop.run();
+    if (error?.run === RUN_STATES.notRun) this.refund(admitted, takenAt);
+    return error;
+  }
+
+  /** Returns the cost of a request that no endpoint has run to its team. */
+  private refund({metadata, team}: RoutedRequest, takenAt: number): void {
+    const terms = this.options
+      .routes()
+      ?.configuration.teams?.find(({name}) => name === team);
+    if (terms === undefined) return;
+    this.options.rateLimiter.refund?.(terms, costOf(terms, metadata), takenAt);
   }
 
   /** Finds the route and the team of a request; its head is enough. */
@@ -230,8 +242,7 @@
     if ('code' in sender) return sender;
     const {route, service, team} = sender;
     if (team !== undefined) {
-      const cost =
-        team.unit === 'tokens' ? (metadata.tokens ?? team.defaultTokens) : 1;
+      const cost = costOf(team, metadata);
       const wait = this.options.rateLimiter.take(team, cost);
       if (wait > 0) {
         return notRunError(
@@ -325,6 +336,11 @@
     : `team ${team.name}`;
 }
 
+/** What a request takes from the rate of its team. */
+function costOf(team: TeamConfiguration, {tokens}: RequestMetadata): number {
+  return team.unit === 'tokens' ? (tokens ?? team.defaultTokens) : 1;
+}
+
 function tooLargeError(maximumBytes: number): RequestError {
   return notRunError(
     REQUEST_ERROR_CODES.requestTooLarge,
