Close connections of endpoints that do not read a request

Cause: an endpoint that answered completely without reading the request's body kept the body in memory and its connection in use without a limit, as the attempt and its deadline had ended. Change: the connection is reset 500 ms after the end of such a response.

--- a/src/exchange/send_to_endpoint.ts
+++ b/src/exchange/send_to_endpoint.ts
@@ -7,6 +7,12 @@
 import {isConnectFailureCode} from '../errors/mod.ts';
 import {watchConnection} from './watch_connection.ts';
 
+/**
+ * Time in which an endpoint must read the rest of a request that it has answered.
+ * Until then, the request's body and the connection are still in use.
+ */
+const UNREAD_REQUEST_MILLISECONDS = 500;
+
 /** Options of {@link sendToEndpoint}. */
 export interface SendOptions {
   /** IP address and port. */
@@ -149,6 +155,16 @@
     });
     clientRequest.once('response', message => {
       clearTimeout(timer);
+      message.once('end', () => {
+        if (clientRequest.writableFinished) return;
+        timer = setTimeout(
+          () => terminate('the endpoint does not read the request'),
+          UNREAD_REQUEST_MILLISECONDS,
+        );
+        const cancel = () => clearTimeout(timer);
+        clientRequest.once('finish', cancel);
+        clientRequest.once('close', cancel);
+      });
       resolve({
         kind: 'answer',
         status: message.statusCode ?? 0,
--- a/src/exchange/send_to_endpoint_test.ts
+++ b/src/exchange/send_to_endpoint_test.ts
@@ -31,6 +31,53 @@
     expect(outcome.kind).toBe('unsent');
   });
 
+  // Guards against bodies that stay in memory, and connections that stay in use, for as
+  // long as an endpoint likes.
+  test.each([
+    {response: RESPONSE, kind: 'answer'},
+    {response: '', kind: 'unknown'},
+  ])(
+    'an endpoint that does not read a body gets its connection closed ($kind)',
+    async ({response, kind}) => {
+      let receivedBytes = 0;
+      const accepted: Socket[] = [];
+      const server = createServer(connection => {
+        accepted.push(connection);
+        connection.on('error', () => undefined);
+        connection.on('data', chunk => (receivedBytes += chunk.length));
+        connection.once('data', () => {
+          connection.write(response);
+          connection.pause();
+        });
+      });
+      await new Promise<void>(resolve =>
+        server.listen(0, '127.0.0.1', resolve),
+      );
+      const outcome = await sendToEndpoint({
+        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+        method: 'POST',
+        path: '/',
+        headers: ['Host', 'h', 'Content-Length', String(LONG_BODY_BYTES)],
+        body: Buffer.alloc(LONG_BODY_BYTES),
+        agent: new EndpointAgent({
+          maximumConnections: 1,
+          idleTimeoutMilliseconds: 1000,
+        }),
+        connectTimeoutMilliseconds: 1000,
+        responseTimeoutMilliseconds: 500,
+        signal: new AbortController().signal,
+      });
+      expect(outcome.kind).toBe(kind);
+      if (outcome.kind === 'answer') outcome.message.resume();
+      await new Promise(resolve => setTimeout(resolve, 1000));
+      // A connection that is not read does not notice its end.
+      for (const connection of accepted) connection.resume();
+      await expect.poll(() => accepted.every(({closed}) => closed)).toBe(true);
+      expect(receivedBytes).toBeLessThan(LONG_BODY_BYTES);
+      server.close();
+    },
+  );
+
   // Guards against MIXED violations: an endpoint that responds before it has
   // read the whole body must not get the next request in place of the rest.
   test('a response before the end of a long body is followed by no bytes of the next request', async () => {
