Wait for the pool's delay at engines with a late order of a former manager

Cause: the time of the last former order was decided by the first report. An order of the former manager that arrived after it made the engine refuse the new manager's order as a conflict, but the next one followed at once. Change: a report with more orders than the manager knows of makes that time unknown, so that the delay of the whole pool applies to the engine.

--- a/src/engines/engine_state.ts
+++ b/src/engines/engine_state.ts
@@ -103,6 +103,9 @@
       return false;
     }
     this.staleReports = 0;
+    // An order that this manager does not know of may be one of a former manager.
+    if (report.ordersAccepted > (this.ordersAccepted ?? Infinity))
+      this.formerOrderAt = undefined;
     this.ordersAccepted = report.ordersAccepted;
     this.setModels(report.models);
     for (const adapter of report.pendingAdapters) this.adapters.add(adapter);
--- a/src/testing/managed_pool.ts
+++ b/src/testing/managed_pool.ts
@@ -19,6 +19,8 @@
   engines: readonly Partial<EndpointRecord>[];
   /** Models of the configuration; each takes half of an engine's memory. */
   models?: readonly string[];
+  /** Orders that the engines have accepted, as they report. @default 0 */
+  ordersAccepted?: () => number;
 }
 
 /** A call to an engine. */
@@ -67,6 +69,7 @@
 export function createManagedPool({
   engines,
   models = ['model-a'],
+  ordersAccepted = () => 0,
 }: ManagedPoolOptions) {
   const clock = new ManualClock();
   const registry = new EndpointRegistry({
@@ -138,7 +141,7 @@
         return success({
           models: records.find(record => record.id === id)?.models ?? [],
           isBusy: false,
-          ordersAccepted: 0,
+          ordersAccepted: ordersAccepted(),
           pendingAdapters: [],
         });
       },
