Load from the weight store only after the delay of the pool

Cause: a new manager that may order settled engines early began with an empty window of 5 s for loads from the weight store, although its predecessor had used the same window, so that both together could exceed its rate. Change: the budget of a term starts when the delay of the pool has passed, as it did before orders by engine.

--- a/src/engines/pool_manager.ts
+++ b/src/engines/pool_manager.ts
@@ -244,7 +244,8 @@
     this.epoch = epoch;
     this.budget = new RemoteLoadBudget({
       loadsPerSecond: pool.loadsPerSecond,
-      startsAt: now,
+      // Until then, loads that a former manager has started count as well.
+      startsAt: now + Math.max(0, this.options.lease.orderDelay(undefined)),
     });
     this.options.logger.event('leaseActive', {
       service: this.options.service()?.name,
