Let waiting requests return to engines with a limited rate

Cause: an engine that had no turn for a request in its time was left out for as long as the request waited in the order, while other engines were full. Change: it is a candidate again from the time at which it said to have room. Result: the new test of admission_share_test.ts was red and passes.

--- a/src/engines/admission_share_test.ts
+++ b/src/engines/admission_share_test.ts
@@ -106,3 +106,35 @@
   expect(computed).toBeGreaterThan(0);
   expect(computed).toBeLessThan(5);
 });
+
+// Guards against a request that waits for full engines until it expires, although an
+// engine with a limited rate that had no turn for it at first has one again.
+test('a request returns to an engine with a limited rate while it waits', async () => {
+  const clock = new ManualClock();
+  const fleet = new AdmissionFleet({
+    clock,
+    hosts: 1,
+    engines: 2,
+    slots: 12,
+    admission: 'ordered',
+  });
+  const [host] = fleet.hosts;
+  const limited = [...(host?.registry.all() ?? [])].at(-1);
+  if (host === undefined || limited === undefined) throw new Error('No host');
+  host.router.noteResponse(limited, {
+    notice: {
+      isLeaving: false,
+      closedMilliseconds: undefined,
+      requestsPerSecond: 0.2,
+    },
+    sentAt: clock.monotonicMilliseconds(),
+    isSuccess: true,
+  });
+  for (let count = 0; count < 15; count++)
+    void fleet.send({...INTERACTIVE, runMilliseconds: 20_000});
+  await clock.advanceAsync(100);
+  void fleet.send(DEFERRED);
+  await clock.advanceAsync(20_000);
+  const [waited] = fleet.of('deferred');
+  expect(waited?.startedAt).toBeDefined();
+});
--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -146,7 +146,12 @@
           : await this.admission.waitForRoom({
               request,
               signal,
-              isAllowed: isOpen,
+              // It may wait beyond the time at which one of them has room again.
+              isAllowed: ({incarnation}) => {
+                const at = returnAt.get(incarnation);
+                const {clock} = this.options;
+                return at === undefined || at <= clock.monotonicMilliseconds();
+              },
               choose: (endpoints, drawn) =>
                 this.chooseDrawn(endpoints, drawn, request, preference),
             });
