Wake no requests for engines that take none or few

Cause: each count of the other hosts' requests, every 100 ms, woke all requests that wait for a replica beside engines with a limited rate. Each of them asked for a permit again, and each refusal put off the next turns. Change: only an engine that takes any number of requests wakes them; the check once a second remains. Result: a case of waiting_requests_test.ts was red and passes.

--- a/src/engines/_waiting_requests.ts
+++ b/src/engines/_waiting_requests.ts
@@ -51,14 +51,14 @@
     }
   }
 
-  /** Ends the waits for targets that an engine has. */
+  /** Ends the waits for targets that an engine has which takes any requests. */
   wakeServable(): void {
     for (const waiters of this.waiters.values()) {
       const [first] = waiters;
       if (first === undefined) continue;
       const {service, metadata} = first.request;
       const holders = this.options.holders(service.name, targetOf(metadata));
-      if (holders.length === 0) continue;
+      if (!holders.some(holder => this.options.isOpen(holder))) continue;
       for (const waiter of waiters) waiter.wake();
     }
   }
