--- a/src/engines/admission_share_test.ts
+++ b/src/engines/admission_share_test.ts
@@ -124,6 +124,7 @@
   host.router.noteResponse(limited, {
     notice: {
       isLeaving: false,
+      coldMilliseconds: undefined,
       closedMilliseconds: undefined,
       requestsPerSecond: 0.2,
     },
