--- a/src/admission/ordered_admission.ts
+++ b/src/admission/ordered_admission.ts
@@ -1,12 +1,15 @@
 import type {Endpoint, WaitingCount} from '../fleet/mod.ts';
-import {type RoutedRequest, targetOf} from '../relay/mod.ts';
+import type {RoutedRequest} from '../relay/mod.ts';
 import type {CancelTimer} from '../time/mod.ts';
 import {AdmissionLog} from './_admission_log.ts';
+import {atMost} from './_at_most.ts';
 import {outcomeLabel} from './_outcome_label.ts';
 import {
   type AdmissionCandidate,
   admissionTerms,
   countWaiting,
+  createWaitingRequest,
+  placeKind,
   type WaitingRequest,
 } from './_waiting_request.ts';
 import {Reservations} from './_reservations.ts';
@@ -20,7 +23,7 @@
 import type {AdmissionOutcome, RefusalReason} from './admission_outcome.ts';
 import type {AdmissionPreview} from './admission_preview.ts';
 import type {OrderedAdmissionOptions} from './ordered_admission_options.ts';
-import {PlaceEstimate, type PlaceKind} from './place_estimate.ts';
+import {PlaceEstimate} from './place_estimate.ts';
 import {RETURN_SHARE, ReturnSchedule} from './return_schedule.ts';
 import {RoomShare} from './room_share.ts';
 import {WaitingQueue} from './waiting_queue.ts';
@@ -90,16 +93,17 @@
     const excess = this.findExcess(entry);
     this.queue.delete(entry);
     const {below, level, hasRoom} = this.roomFor(entry, candidates);
+    const levelNeeded = this.room.levelNeeded(candidates);
     const state = {
       level,
-      levelNeeded: this.room.levelNeeded(candidates),
+      levelNeeded,
       below,
       ahead: wait.before,
       expectedWaitMilliseconds: wait.milliseconds,
     };
     if (entry.terms.lastStartAt <= this.now())
       return {...state, kind: 'refused', reason: this.expiryReason(entry)};
-    if (hasRoom) {
+    if (hasRoom && level > levelNeeded) {
       const drawShares = this.room.drawShares({candidates: below, level});
       return {...state, kind: 'admitted', drawShares};
     }
@@ -159,6 +163,8 @@
     const holders = new Map<string, readonly Endpoint[]>();
     let replaceable = freed;
     let wakeAt = Number.POSITIVE_INFINITY;
+    // Level for room at the same candidates; most requests wait for the same ones.
+    const levelNeeded = new Map<readonly Endpoint[], number>();
     for (const entry of this.queue.ordered(now)) {
       const {terms} = entry;
       if (terms.lastStartAt <= now) {
@@ -170,8 +176,15 @@
         entry.settle({kind: 'no_candidate'});
         continue;
       }
-      const endpoint = this.placeFor(entry, candidates, replaceable);
+      const needed =
+        levelNeeded.get(candidates) ?? this.room.levelNeeded(candidates);
+      levelNeeded.set(candidates, needed);
+      const endpoint =
+        admissionLevel(terms, now) > needed
+          ? this.placeFor(entry, candidates, replaceable)
+          : undefined;
       if (endpoint !== undefined) {
+        levelNeeded.clear();
         this.reservations.add(endpoint, now);
         const kind = placeKind(entry, now);
         this.places.recordPlace(endpoint, kind, now);
@@ -180,7 +193,6 @@
         entry.settle({kind: 'admitted', endpoint});
         continue;
       }
-      const needed = this.room.levelNeeded(candidates);
       const risesAt = reachesLevelAt(terms, needed, now);
       wakeAt = Math.min(wakeAt, terms.lastStartAt);
       // What the level allows already waits for the next counts.
@@ -240,7 +252,8 @@
     const latestStart = Math.max(...rivals.map(({terms}) => terms.lastStartAt));
     const servable = (wait.queuePerSecond * (latestStart - now)) / 1000;
     const last = rivals.at(-1);
-    return last !== undefined && rivals.length > 1 + atMost(servable)
+    const limit = 1 + atMost(servable) + wait.spareSlots;
+    return last !== undefined && rivals.length > limit
       ? {entry: last, reason: 'queue_full'}
       : undefined;
   }
@@ -270,13 +283,17 @@
       ? places.onTimePerSecond
       : places.latePerSecond;
     const inTime = (placesPerSecond * Math.max(0, lastStartAt - now)) / 1000;
+    const level = admissionLevel(entry.terms, now);
+    // Without these, a burst at one of many hosts is refused while engines are idle.
+    const spareSlots = this.room.spareSlots({candidates, level});
     return {
       candidates,
       before,
       placesPerSecond,
       milliseconds: (before * 1000) / placesPerSecond,
       queuePerSecond: places.onTimePerSecond,
-      isTooLong: before > atMost(inTime),
+      spareSlots,
+      isTooLong: before > atMost(inTime) + spareSlots,
     };
   }
 
@@ -289,7 +306,8 @@
     const wanted = new Set(this.candidatesOf(entry, holders));
     return ordered.filter(
       other =>
-        other === entry ||
+        // One target has the same engines, which need not be compared again.
+        (other.service === entry.service && other.target === entry.target) ||
         this.candidatesOf(other, holders).some(endpoint =>
           wanted.has(endpoint),
         ),
@@ -352,23 +370,17 @@
     const key = `${service} ${target}`;
     const known = holders.get(key) ?? this.options.holders(service, target);
     holders.set(key, known);
-    return known.filter(candidate.isAllowed);
+    return known.every(candidate.isAllowed)
+      ? known
+      : known.filter(candidate.isAllowed);
   }
 
   private createEntry(
     candidate: AdmissionCandidate,
     settle: WaitingRequest['settle'],
   ): WaitingRequest {
-    const {request} = candidate;
-    return {
-      candidate,
-      service: request.service.name,
-      team: request.team ?? '',
-      target: targetOf(request.metadata),
-      terms: this.termsOf(request),
-      since: this.now(),
-      settle,
-    };
+    const terms = this.termsOf(candidate.request);
+    return createWaitingRequest({candidate, terms, since: this.now(), settle});
   }
 
   private termsOf(request: RoutedRequest): AdmissionTerms {
@@ -383,16 +395,3 @@
     return this.options.clock.monotonicMilliseconds();
   }
 }
-
-/**
- * Places that may become free when a number of them is expected. They come at random
- * times, so that the number varies by about its root.
- */
-function atMost(expected: number): number {
-  return expected + Math.sqrt(Math.max(0, expected));
-}
-
-function placeKind({terms, since}: WaitingRequest, now: number): PlaceKind {
-  if (isImmediate(terms, now)) return 'immediate';
-  return since < now && now <= onTimeUntil(terms) ? 'on_time' : 'other';
-}
--- a/src/client/explain_command_test.ts
+++ b/src/client/explain_command_test.ts
@@ -13,6 +13,7 @@
 const ENGINE = {
   ...{endpoint: 'a1', dataCentre: 'zone-a', slots: 12, requests: 3},
   ...{occupancy: 0.25, failureRate: 0.1, limitPerSecond: undefined},
+  coldMilliseconds: 0,
   ...{pausedMilliseconds: 0, closedMilliseconds: 0, cost: 0.37},
   ...{excluded: undefined, probability: 1},
 };
@@ -30,10 +31,7 @@
     ...{route: 'chat', service: 'engines', target: 'model-a/a1'},
     ...{targets: [{service: 'engines', share: 1}], team: 'team-1', priority: 2},
     ...{balancing: 'even', admission: 'ordered', isTrial: false, outcome},
-    candidates: [
-      ENGINE,
-      {...ENGINE, endpoint: 'a2', excluded: 'refused_recently'},
-    ],
+    candidates,
   };
 }
 
@@ -42,11 +40,16 @@
 let queries: ExplanationQuery[];
 let tokens: (string | undefined)[];
 let outcome: RequestOutcome;
+let candidates: RequestExplanation['candidates'];
 
 beforeEach(async () => {
   queries = [];
   tokens = [];
   outcome = SENT;
+  candidates = [
+    ENGINE,
+    {...ENGINE, endpoint: 'a2', excluded: 'refused_recently'},
+  ];
   server = createServer((request, response) => {
     tokens.push(request.headers.authorization);
     handleExplain(request, response, query => {
@@ -148,6 +151,17 @@
   expect(result.code).toBe(CLIENT_EXIT_CODES.success);
 });
 
+// Guards against an operator who takes the rate of a cold engine for a named limit.
+test('a cold engine is shown', async () => {
+  const cold = {limitPerSecond: 26, coldMilliseconds: 4200};
+  candidates = [{...ENGINE, ...cold, excluded: 'cold'}];
+  const {text} = await run('--host', address, ...REQUEST);
+  expect(text).toMatch(/0\.10 +26 \(cold for 4\.2 s\) +- +no: cold$/);
+  outcome = {...SENT, permitWaitMilliseconds: 0};
+  const result = await run('--host', address, ...REQUEST);
+  expect(result.text).toMatch(/to another one if no permit is free\n/);
+});
+
 const {refused, success: ok, unreachable, usage} = CLIENT_EXIT_CODES;
 const CODES: [string[], number, RegExp][] = [
   [['--json'], ok, /"kind": "sent"/],
--- a/src/client/format_explanation.ts
+++ b/src/client/format_explanation.ts
@@ -40,7 +40,9 @@
       const permit =
         permitWaitMilliseconds === undefined
           ? ''
-          : `; the endpoint limits its requests, so it may wait ${time(permitWaitMilliseconds)} for a permit`;
+          : permitWaitMilliseconds === 0
+            ? '; the endpoint is cold, so it goes to another one if no permit is free'
+            : `; the endpoint limits its requests, so it may wait ${time(permitWaitMilliseconds)} for a permit`;
       return `would be sent to ${outcome.endpoint}${permit}${figures(outcome.admission)}`;
     }
     case 'waits_for_replica': {
@@ -90,8 +92,7 @@
 }
 
 function cellsOf(candidate: EndpointExplanation): readonly string[] {
-  const {closedMilliseconds, excluded, limitPerSecond, pausedMilliseconds} =
-    candidate;
+  const {closedMilliseconds, excluded, pausedMilliseconds} = candidate;
   const pause = Math.max(closedMilliseconds, pausedMilliseconds);
   return [
     candidate.endpoint,
@@ -100,7 +101,7 @@
     candidate.occupancy.toFixed(2),
     `${candidate.requests}/${candidate.slots}`,
     candidate.failureRate.toFixed(2),
-    limitPerSecond === undefined ? '-' : String(limitPerSecond),
+    limitOf(candidate),
     pause === 0 ? '-' : time(pause),
     excluded === undefined
       ? percent(candidate.probability)
@@ -108,6 +109,16 @@
   ];
 }
 
+function limitOf({
+  coldMilliseconds,
+  limitPerSecond,
+}: EndpointExplanation): string {
+  if (limitPerSecond === undefined) return '-';
+  return coldMilliseconds === 0
+    ? String(limitPerSecond)
+    : `${limitPerSecond} (cold for ${time(coldMilliseconds)})`;
+}
+
 function percent(share: number): string {
   return `${(share * 100).toFixed(1)} %`;
 }
--- a/src/engines/_limited_endpoints.ts
+++ b/src/engines/_limited_endpoints.ts
@@ -2,6 +2,7 @@
 import type {EndpointLimits, PermitBroker} from '../permits/mod.ts';
 import type {NotedResponse, RoutedRequest} from '../relay/mod.ts';
 import {type Clock, sleep} from '../time/mod.ts';
+import type {ColdEngines} from './cold_engines.ts';
 
 /** Options of {@link LimitedEndpoints}. */
 export interface LimitedEndpointsOptions {
@@ -9,6 +10,7 @@
   registry: EndpointRegistry;
   limits: EndpointLimits;
   permits: PermitBroker;
+  coldEngines: Pick<ColdEngines, 'rateOf'>;
   /** Tells all hosts that a process has said that it leaves. */
   announceLeaving: (incarnation: string) => void;
 }
@@ -19,6 +21,8 @@
   readonly request: RoutedRequest;
   /** Monotonic time until which the request can wait. */
   readonly waitsUntil: number;
+  /** Whether another endpoint can take the request at once. */
+  readonly hasOther: boolean;
 }
 
 /**
@@ -27,6 +31,13 @@
  */
 const SHORT_WAIT_MILLISECONDS = 1000;
 
+/**
+ * Time after which a permit for a cold endpoint is void. Permits that a delayed event loop
+ * uses later would add to those of the next second; the endpoint's budget covers 250 ms,
+ * most of which an answer of the granter may take.
+ */
+const LATE_MILLISECONDS = 50;
+
 /** Origin of what this host has learned from a response itself, for logs. */
 const OWN_RESPONSE = 'response';
 
@@ -61,12 +72,46 @@
     return closedUntil > now ? closedUntil : undefined;
   }
 
+  /** Whether one of some endpoints takes any number of requests now. */
+  isAnyOpen(
+    endpoints: readonly Endpoint[],
+    excluded: ReadonlySet<string>,
+  ): boolean {
+    return endpoints.some(
+      endpoint => !excluded.has(endpoint.incarnation) && this.isOpen(endpoint),
+    );
+  }
+
+  /**
+   * Whether requests go past an endpoint for which this host gives no permit yet, since it
+   * has just been found to be cold and another one takes them at once.
+   *
+   * @param candidates All endpoints that the request may be sent to.
+   */
+  isPassedOver(
+    {incarnation}: Endpoint,
+    candidates: readonly Endpoint[],
+    excluded: ReadonlySet<string>,
+  ): boolean {
+    const {clock, limits} = this.options;
+    const phase = limits.coldPhaseOf(incarnation);
+    return (
+      phase !== undefined &&
+      phase.quietUntil > clock.monotonicMilliseconds() &&
+      this.isAnyOpen(candidates, excluded)
+    );
+  }
+
   /** Records what a response says of its endpoint. */
   observe(
-    {incarnation, condition}: Endpoint,
+    endpoint: Endpoint,
     {notice, sentAt, isSuccess}: NotedResponse,
   ): void {
-    const {clock, registry, limits, announceLeaving} = this.options;
+    const {incarnation, condition} = endpoint;
+    const {clock, registry, limits, coldEngines, announceLeaving} =
+      this.options;
+    const coldRate = coldEngines.rateOf(endpoint);
+    const {coldMilliseconds} = notice;
     if (notice.isLeaving && registry.recordLeaving(incarnation, OWN_RESPONSE))
       announceLeaving(incarnation);
     if (notice.closedMilliseconds !== undefined) {
@@ -76,6 +121,10 @@
     limits.observe({
       incarnation,
       ratePerSecond: notice.requestsPerSecond,
+      cold:
+        coldRate === undefined || coldMilliseconds === undefined
+          ? undefined
+          : {milliseconds: coldMilliseconds, ratePerSecond: coldRate},
       sentAt,
       isSuccess,
     });
@@ -83,7 +132,8 @@
 
   /**
    * Waits until a request may be sent to an endpoint, at most for as long as it can
-   * still meet its latency objective or for a short time.
+   * still meet its latency objective or for a short time. A request does not wait for a
+   * cold endpoint if another one takes it at once.
    *
    * @returns Undefined if it may be sent now, else the monotonic time at which its
    *   caller may return.
@@ -92,20 +142,38 @@
     candidate: LimitedCandidate,
     signal: AbortSignal,
   ): Promise<number | undefined> {
-    const {endpoint, request, waitsUntil} = candidate;
-    const closedUntil = this.closedUntil(endpoint);
-    if (closedUntil !== undefined) return closedUntil;
-    if (!this.has(endpoint)) return undefined;
-    const {clock, permits, registry} = this.options;
-    const horizon = this.permitHorizon(request, waitsUntil);
-    const permit = await permits.acquire(endpoint.incarnation, horizon);
-    if (permit.kind === 'denied') return permit.returnAt;
-    const delay = permit.at - clock.monotonicMilliseconds();
-    if (delay > 0) await this.waitForPermit(endpoint, delay, signal);
-    // The endpoint may have begun to leave or been evacuated meanwhile.
-    return registry.usable(request.service.name).includes(endpoint)
-      ? undefined
-      : clock.monotonicMilliseconds();
+    const {endpoint, request, waitsUntil, hasOther} = candidate;
+    const {clock, limits, permits, registry} = this.options;
+    const {incarnation} = endpoint;
+    const giveUpAt =
+      clock.monotonicMilliseconds() + this.permitHorizon(request, waitsUntil);
+    for (;;) {
+      const closedUntil = this.closedUntil(endpoint);
+      if (closedUntil !== undefined) return closedUntil;
+      if (!this.has(endpoint)) return undefined;
+      const isCold = limits.coldPhaseOf(incarnation) !== undefined;
+      const horizon = giveUpAt - clock.monotonicMilliseconds();
+      const permit = await permits.acquire(
+        incarnation,
+        isCold && hasOther ? 0 : horizon,
+      );
+      if (permit.kind === 'denied') return permit.returnAt;
+      const delay = permit.at - clock.monotonicMilliseconds();
+      if (delay > 0) await this.waitForPermit(endpoint, delay, signal);
+      const now = clock.monotonicMilliseconds();
+      // The endpoint may have begun to leave or been evacuated meanwhile.
+      if (!registry.usable(request.service.name).includes(endpoint)) return now;
+      if (isCold && signal.aborted) return now;
+      if (this.isValid(permit.at, incarnation, isCold)) return undefined;
+    }
+  }
+
+  /** Whether a request may be sent now with a permit for a time. */
+  private isValid(at: number, incarnation: string, wasCold: boolean): boolean {
+    const {clock, limits} = this.options;
+    // A permit of a named limit says nothing of a cold phase that has begun meanwhile.
+    if (!wasCold) return limits.coldPhaseOf(incarnation) === undefined;
+    return clock.monotonicMilliseconds() <= at + LATE_MILLISECONDS;
   }
 
   /** Longest milliseconds that a request waits for a permit. */
--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -1,4 +1,3 @@
-import type {ServiceConfiguration} from '../deployment/mod.ts';
 import {
   failure,
   REQUEST_ERROR_CODES,
@@ -12,11 +11,9 @@
   chooseEndpoint,
   type ChooseEndpointOptions,
   type Endpoint,
-  type EndpointRegistry,
   type WaitingCount,
 } from '../fleet/mod.ts';
 import {
-  type DispatchWindow,
   drainingError,
   type EndpointPreference,
   type EndpointSource,
@@ -24,13 +21,7 @@
   type RoutedRequest,
   targetOf,
 } from '../relay/mod.ts';
-import type {EndpointLimits, PermitBroker} from '../permits/mod.ts';
-import type {Clock} from '../time/mod.ts';
-import {
-  type AdmissionRefusal,
-  OrderedAdmission,
-  type OrderedAdmissionOptions,
-} from '../admission/mod.ts';
+import {type AdmissionRefusal, OrderedAdmission} from '../admission/mod.ts';
 import {affinityKeyOf} from './_affinity_key_of.ts';
 import {LimitedEndpoints} from './_limited_endpoints.ts';
 import {
@@ -43,41 +34,12 @@
 } from './_refusal.ts';
 import {lateRefusal} from './_late_refusal.ts';
 import {WaitingRequests} from './_waiting_requests.ts';
-import type {EndpointBalancer} from './endpoint_balancer.ts';
+import type {
+  EndpointRouterOptions,
+  RouterAdmissionOptions,
+} from './endpoint_router_options.ts';
 import {explainPlacement} from './explain_placement.ts';
 import type {PlacementExplanation} from './placement_explanation.ts';
-import type {ReplicaMap} from './replica_map.ts';
-
-/** Options of {@link EndpointRouter}. */
-export interface EndpointRouterOptions {
-  registry: EndpointRegistry;
-  replicas: ReplicaMap;
-  limits: EndpointLimits;
-  permits: PermitBroker;
-  /** Until when requests are sent to endpoints. */
-  dispatchWindow: DispatchWindow;
-  /** Tells all hosts that a process has said in a response that it leaves. */
-  announceLeaving: (incarnation: string) => void;
-  clock: Clock;
-  dataCentre: string;
-  /** Distributes requests evenly; without it, the least loaded endpoint is used. */
-  balancer?: EndpointBalancer;
-  /** Returns a service of the current configuration. */
-  service: (name: string) => ServiceConfiguration | undefined;
-  /** Called when requests begin to wait for a target. */
-  onDemandChanged: () => void;
-  /**
-   * Holds requests back while the engines that have their model are full. @default
-   * all are sent at once
-   */
-  admission?: RouterAdmissionOptions;
-}
-
-/** Options of the order of waiting requests. */
-export type RouterAdmissionOptions = Pick<
-  OrderedAdmissionOptions,
-  'evenShare' | 'hostId' | 'logger' | 'metrics' | 'slotShare'
->;
 
 /**
  * Share of the caller's time-out that a request may spend waiting for a load.
@@ -149,28 +111,31 @@
           : await this.admission.waitForRoom({
               request,
               signal,
-              isAllowed: isOpen,
+              // It may wait beyond the time at which one of them has room again.
+              isAllowed: ({incarnation}) => {
+                const at = returnAt.get(incarnation);
+                const {clock} = this.options;
+                return at === undefined || at <= clock.monotonicMilliseconds();
+              },
               choose: (endpoints, drawn) =>
                 this.chooseDrawn(endpoints, drawn, request, preference),
             });
       if (outcome?.kind === 'refused')
         return this.refuseWaiting(request, outcome);
       if (outcome?.kind === 'aborted') return notInTime(target);
+      const open = this.candidates(service.name, target, isModelRequest).filter(
+        isOpen,
+      );
       const chosen =
         outcome?.kind === 'admitted'
           ? outcome.endpoint
-          : this.choose(
-              this.candidates(service.name, target, isModelRequest).filter(
-                isOpen,
-              ),
-              request,
-              excluded,
-              preference,
-            );
+          : this.choose(open, request, excluded, preference);
       if (chosen !== undefined) {
         const waitsUntil = this.waitDeadline(request);
+        const hasOther =
+          this.limited.has(chosen) && this.limited.isAnyOpen(open, excluded);
         const roomAt = await this.limited.roomAt(
-          {endpoint: chosen, request, waitsUntil},
+          {endpoint: chosen, request, waitsUntil, hasOther},
           signal,
         );
         if (roomAt === undefined) {
@@ -227,6 +192,10 @@
     this.limited.observe(endpoint, response);
   }
 
+  noteUnreachable(endpoint: Endpoint): void {
+    this.options.coldEngines.presume(endpoint);
+  }
+
   noteRefused(request: RoutedRequest, endpoint: Endpoint): void {
     this.options.replicas.recordRefusal(endpoint, targetOf(request.metadata));
   }
--- a/src/engines/explain_placement.ts
+++ b/src/engines/explain_placement.ts
@@ -70,6 +70,12 @@
   readonly below: readonly Endpoint[] | undefined;
 }
 
+interface Choices {
+  /** Endpoints that the request may be sent to. */
+  readonly candidates: readonly Endpoint[];
+  readonly probabilities: Probabilities;
+}
+
 const NO_PROBABILITIES: Probabilities = new Map();
 
 /**
@@ -123,22 +129,35 @@
     const preview = parts.orderedAdmission.preview({
       request,
       signal: new AbortController().signal,
-      isAllowed: () => true,
+      isAllowed: endpoint => !isPassedOver(endpoint, candidates, parts),
       choose: parts.chooseDrawn,
     });
     if (preview.kind !== 'no_candidate')
-      return admissionDecision(request, preview, parts);
+      return admissionDecision(request, preview, candidates, parts);
   }
   const open = candidates.filter(
-    endpoint => parts.limited.closedUntil(endpoint) === undefined,
+    endpoint =>
+      parts.limited.closedUntil(endpoint) === undefined &&
+      !isPassedOver(endpoint, candidates, parts),
   );
   const probabilities = probabilitiesOf(request, open, parts);
   if (probabilities.size > 0)
-    return sent(request, probabilities, parts, undefined);
+    return sent(request, {candidates, probabilities}, parts);
   return withoutEndpoint(request, candidates, isModelRequest, parts);
 }
 
-/** Closed endpoints are left out; the router drops them once they are chosen. */
+function isPassedOver(
+  endpoint: Endpoint,
+  candidates: readonly Endpoint[],
+  {choice, limited}: Pick<PlacementParts, 'choice' | 'limited'>,
+): boolean {
+  return limited.isPassedOver(endpoint, candidates, choice.excluded);
+}
+
+/**
+ * Endpoints that are closed or passed over are left out; the router drops them once they
+ * are chosen.
+ */
 function probabilitiesOf(
   request: RoutedRequest,
   open: readonly Endpoint[],
@@ -152,21 +171,26 @@
 
 function sent(
   request: RoutedRequest,
-  probabilities: Probabilities,
-  {limited, waitDeadline}: PlacementParts,
-  admission: AdmissionState | undefined,
+  {candidates, probabilities}: Choices,
+  {choice, limited, limits, waitDeadline}: PlacementParts,
+  admission?: AdmissionState,
 ): Decision {
   const [first] = [...probabilities].sort(
     ([, left], [, right]) => right - left,
   );
   if (first === undefined) throw new Error('No endpoint can be chosen');
   const [likeliest] = first;
+  const isCold = limits.coldPhaseOf(likeliest.incarnation) !== undefined;
+  const waitsForPermit =
+    !isCold || !limited.isAnyOpen(candidates, choice.excluded);
   return {
     outcome: {
       kind: 'sent',
       endpoint: likeliest.record.id,
       permitWaitMilliseconds: limited.has(likeliest)
-        ? limited.permitHorizon(request, waitDeadline)
+        ? waitsForPermit
+          ? limited.permitHorizon(request, waitDeadline)
+          : 0
         : undefined,
       admission: admission && figuresOf(admission),
     },
@@ -178,12 +202,13 @@
 function admissionDecision(
   request: RoutedRequest,
   preview: Exclude<AdmissionPreview, {kind: 'no_candidate'}>,
+  candidates: readonly Endpoint[],
   parts: PlacementParts,
 ): Decision {
   switch (preview.kind) {
     case 'admitted': {
       const probabilities = admittedProbabilities(request, preview, parts);
-      return sent(request, probabilities, parts, preview);
+      return sent(request, {candidates, probabilities}, parts, preview);
     }
     case 'waits':
       return {
@@ -302,6 +327,7 @@
   const {condition, incarnation, record} = endpoint;
   const now = clock.monotonicMilliseconds();
   const closedUntil = limited.closedUntil(endpoint);
+  const coldUntil = limits.coldPhaseOf(incarnation)?.until ?? now;
   return {
     endpoint: record.id,
     dataCentre: record.dataCentre,
@@ -310,6 +336,7 @@
     occupancy: endpoint.occupancy,
     failureRate: condition.failureRate,
     limitPerSecond: limits.rateOf(incarnation),
+    coldMilliseconds: coldUntil - now,
     pausedMilliseconds: condition.pauseLeft(now),
     closedMilliseconds: closedUntil === undefined ? 0 : closedUntil - now,
     cost: rankEndpoints([endpoint], choice)[0]?.cost ?? 0,
@@ -326,6 +353,8 @@
     context;
   const isClosed = (candidate: Endpoint) =>
     limited.closedUntil(candidate) !== undefined;
+  const isCold = (candidate: Endpoint) =>
+    isPassedOver(candidate, candidates, context);
   const isPaused = ({condition}: Endpoint) => condition.isPaused(choice.now);
   if (registry.isLeaving(endpoint)) return EXCLUSION_REASONS.leaving;
   if (registry.isEvacuated(endpoint.record)) return EXCLUSION_REASONS.evacuated;
@@ -333,8 +362,10 @@
     return EXCLUSION_REASONS.refusedRecently;
   if (!candidates.includes(endpoint)) return EXCLUSION_REASONS.modelNotLoaded;
   if (isClosed(endpoint)) return EXCLUSION_REASONS.closed;
+  if (isCold(endpoint)) return EXCLUSION_REASONS.cold;
   const hasOthers = candidates.some(
-    candidate => !isClosed(candidate) && !isPaused(candidate),
+    candidate =>
+      !isClosed(candidate) && !isCold(candidate) && !isPaused(candidate),
   );
   if (isPaused(endpoint) && hasOthers) return EXCLUSION_REASONS.paused;
   return below !== undefined && !below.includes(endpoint)
--- a/src/engines/explain_placement_test.ts
+++ b/src/engines/explain_placement_test.ts
@@ -39,6 +39,8 @@
   features?: RoutedFeatures;
   prepare?: (host: RoutedHost) => unknown;
   outcome: object;
+  /** Time after which a request gets its permit. @default 0 */
+  waitsMilliseconds?: number;
   /** Use of engine-a and engine-b: a probability or why not. */
   uses: readonly unknown[];
 }
@@ -59,6 +61,14 @@
 const close = (id: string, until: number) => (host: RoutedHost) =>
   host.engine(id).condition.recordClosed(until);
 
+const cool =
+  (id: string, ratePerSecond: number) =>
+  ({limits}: RoutedHost) =>
+    limits.cold.recordRow(
+      {incarnation: `${id}/1`, ratePerSecond, milliseconds: 30_000},
+      false,
+    );
+
 const expectIn = (milliseconds: number) => (host: RoutedHost) =>
   host.announce({'engine-a': [], 'engine-b': []}, milliseconds);
 
@@ -98,6 +108,44 @@
     outcome: {...TO_A, permitWaitMilliseconds: 1000},
     uses: [1, 0],
   },
+  {
+    name: 'an engine that was found to be cold, beside a loaded one',
+    prepare: host => void [cool('engine-a', 4)(host), load(0, 1)(host)],
+    outcome: {...TO_B, permitWaitMilliseconds: undefined},
+    uses: ['cold', 1],
+  },
+  {
+    name: 'a cold engine with permits beside a loaded one',
+    prepare: async host => {
+      cool('engine-a', 4)(host);
+      load(0, 1)(host);
+      await host.clock.advanceAsync(1000);
+    },
+    outcome: {...TO_A, permitWaitMilliseconds: 0},
+    uses: [1, 0],
+  },
+  {
+    name: 'a cold engine alone',
+    prepare: host => void [cool('engine-a', 4)(host), host.evacuate('zone-b')],
+    outcome: {...TO_A, permitWaitMilliseconds: 1000},
+    waitsMilliseconds: 1000,
+    uses: [1, 'evacuated'],
+  },
+  {
+    name: 'a cold engine beside one that could not be connected to',
+    prepare: host => {
+      cool('engine-a', 4)(host);
+      host.engine('engine-b').condition.recordConnectFailure(0);
+    },
+    ...{outcome: TO_B, uses: ['cold', 1]},
+  },
+  {
+    name: 'ordered admission and a cold engine beside a full one',
+    features: ordered,
+    prepare: host => void [cool('engine-a', 4)(host), load(0, 2)(host)],
+    outcome: {kind: 'waits_for_room'},
+    uses: ['cold', 'full'],
+  },
   {
     name: 'no replica, one expected in time',
     prepare: expectIn(300),
@@ -168,7 +216,7 @@
 // that has an effect itself.
 test.each(CASES)('$name', async entry => {
   const host = new RoutedHost(ENGINES, entry.features);
-  entry.prepare?.(host);
+  await entry.prepare?.(host);
   await host.clock.advanceAsync(0);
   const before = await stateOf(host);
   const {outcome, candidates} = host.router.explain(host.request, 'affinity');
@@ -185,6 +233,7 @@
   await host.clock.advanceAsync(0);
   switch (outcome.kind) {
     case 'sent': {
+      await host.clock.advanceAsync(entry.waitsMilliseconds ?? 0);
       const id = result?.ok === true ? result.value.record.id : undefined;
       const chosen = candidates.find(({endpoint}) => endpoint === id);
       expect(chosen?.probability).toBeGreaterThan(0);
--- a/src/engines/mod.ts
+++ b/src/engines/mod.ts
@@ -16,11 +16,13 @@
  * @module
  */
 export {ArrivalRates} from './arrival_rates.ts';
+export {ColdEngines, type ColdEnginesOptions} from './cold_engines.ts';
 export {
   EndpointBalancer,
   type EndpointBalancerOptions,
 } from './endpoint_balancer.ts';
-export {EndpointRouter, type EndpointRouterOptions} from './endpoint_router.ts';
+export {EndpointRouter} from './endpoint_router.ts';
+export type {EndpointRouterOptions} from './endpoint_router_options.ts';
 export type {
   EngineControl,
   EngineOrder,
--- a/src/engines/placement_explanation.ts
+++ b/src/engines/placement_explanation.ts
@@ -12,6 +12,8 @@
   modelNotLoaded: 'model_not_loaded',
   /** It has asked for no requests for some time. */
   closed: 'closed',
+  /** It was found to be cold a moment ago, and others take requests at once. */
+  cold: 'cold',
   /** It could not be connected to, and others can be used. */
   paused: 'paused',
   /** Its slots are in use up to the admission level of the request. */
@@ -33,8 +35,10 @@
   readonly occupancy: number;
   /** Share of recent requests that failed, 0 to 1. */
   readonly failureRate: number;
-  /** Requests a second that it takes from all hosts; undefined if it names no limit. */
+  /** Requests a second that it takes from all hosts; undefined if it has no limit. */
   readonly limitPerSecond: number | undefined;
+  /** Milliseconds until the end of its cold phase; 0 if it is warm. */
+  readonly coldMilliseconds: number;
   /** Milliseconds until the end of its pause after failures; 0 if there is none. */
   readonly pausedMilliseconds: number;
   /** Milliseconds for which it has asked for no requests; 0 if it has not. */
@@ -66,7 +70,8 @@
       readonly endpoint: string;
       /**
        * Longest milliseconds that it waits for a permit, because the endpoint limits its
-       * requests; undefined if it needs none. Whether a permit is free is not asked.
+       * requests; undefined if it needs none. 0 if the endpoint is cold and another one
+       * takes the request when no permit is free. Whether one is free is not asked.
        */
       readonly permitWaitMilliseconds: number | undefined;
       readonly admission: AdmissionFigures | undefined;
--- a/src/entry/_bind_requests.ts
+++ b/src/entry/_bind_requests.ts
@@ -1,6 +1,11 @@
 import type {Container} from 'inversify';
 import {ByteBudget} from '../bytes/mod.ts';
-import {EndpointBalancer, EndpointRouter, ReplicaMap} from '../engines/mod.ts';
+import {
+  ColdEngines,
+  EndpointBalancer,
+  EndpointRouter,
+  ReplicaMap,
+} from '../engines/mod.ts';
 import {isConnectionRefused} from '../exchange/mod.ts';
 import {
   EndpointRegistry,
@@ -60,6 +65,16 @@
         clock,
       }),
   );
+  const service = (name: string) =>
+    container.get(ConfigurationSource).index?.configuration.services.get(name);
+  container.bind(ColdEngines).toDynamicValue(
+    () =>
+      new ColdEngines({
+        registry: container.get(EndpointRegistry),
+        limits: container.get(EndpointLimits),
+        service,
+      }),
+  );
   container.bind(EndpointRouter).toDynamicValue(
     () =>
       new EndpointRouter({
@@ -67,6 +82,7 @@
         replicas: container.get(ReplicaMap),
         limits: container.get(EndpointLimits),
         permits: container.get(PermitBroker),
+        coldEngines: container.get(ColdEngines),
         dispatchWindow: container.get(DispatchWindow),
         announceLeaving: incarnation =>
           container
@@ -77,10 +93,7 @@
         ...(settings.balancing === 'even'
           ? {balancer: createBalancer(container, context)}
           : {}),
-        service: name =>
-          container
-            .get(ConfigurationSource)
-            .index?.configuration.services.get(name),
+        service,
         onDemandChanged: () => {
           container.get(FleetStateExchange).reportDemandSoon();
           container.get(PoolSupervisor).notify();
@@ -106,6 +119,7 @@
         clock,
         rateShare: () => shares().ofKnownSpending(),
         startsFull: settings.isFirstStart,
+        refundsUnserved: settings.unservedRequests === 'refunded',
       }),
   );
   container.bind(CrashTracker).toDynamicValue(
--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -94,6 +94,12 @@
     .describe(
       'Whether the time between the orders of two managers is kept for the whole pool or for each engine; `pool` unless the deployment calls for `engine`.',
     ),
+  unservedRequests: z
+    .enum(['charged', 'refunded'])
+    .optional()
+    .describe(
+      'Whether a request that no endpoint has run counts towards the rate of its team; `charged` unless the deployment calls for `refunded`.',
+    ),
   replicaLoads: z
     .enum(['successive', 'parallel'])
     .optional()
@@ -113,6 +119,15 @@
     .describe(
       'When requests for loaded models are sent: `immediate` (at once) or `ordered` (while engines are full they wait in the hosts, the most urgent first). `immediate` unless the deployment calls for `ordered`.',
     ),
+  coldEngines: z
+    .object({
+      overrun: z.number().positive().default(1),
+      slack: z.number().nonnegative().default(0),
+    })
+    .default({overrun: 1, slack: 0})
+    .describe(
+      'Requests that a cold endpoint may get in any one second: its requests a second times `overrun`, plus `slack`.',
+    ),
   log: z
     .object({
       servedLinesPerSecond: z.number().int().positive().default(40),
@@ -128,5 +143,5 @@
 /** Settings that a deployment can call for without naming them. */
 export type EntryFeatures = Pick<
   EntrySettings,
-  'admission' | 'balancing' | 'handover' | 'replicaLoads'
+  'admission' | 'balancing' | 'handover' | 'replicaLoads' | 'unservedRequests'
 >;
--- a/src/fleet/evacuated_data_centres_test.ts
+++ b/src/fleet/evacuated_data_centres_test.ts
@@ -8,7 +8,13 @@
   return {
     ...{id, dataCentre, rowVersion: 1, service: 'plain', slots: 1},
     ...{address: '127.0.0.1:1', state: 'ready', startedAt: 1},
-    ...{leavesInMilliseconds: undefined, models: [], inMemory: [], onDisk: []},
+    ...{
+      leavesInMilliseconds: undefined,
+      coldMilliseconds: 0,
+      models: [],
+      inMemory: [],
+      onDisk: [],
+    },
   };
 }
 
--- a/src/relay/rate_refusal.ts
+++ b/src/relay/rate_refusal.ts
@@ -4,6 +4,7 @@
   REQUEST_STEPS,
   type RequestError,
 } from '../errors/mod.ts';
+import {costOf} from './_cost_of.ts';
 import {notRunError} from './_not_run_error.ts';
 import type {RequestMetadata} from './request_metadata.ts';
 
@@ -18,8 +19,7 @@
   metadata: Pick<RequestMetadata, 'tokens'>,
   waitFor: (team: TeamConfiguration, cost: number) => number,
 ): RequestError | undefined {
-  const cost =
-    team.unit === 'tokens' ? (metadata.tokens ?? team.defaultTokens) : 1;
+  const cost = costOf(team, metadata);
   const wait = waitFor(team, cost);
   if (wait <= 0) return undefined;
   return notRunError(
--- a/src/relay/request_relay.ts
+++ b/src/relay/request_relay.ts
@@ -6,6 +6,7 @@
   REQUEST_ERROR_CODES,
   REQUEST_STEPS,
   type RequestError,
+  RUN_STATES,
 } from '../errors/mod.ts';
 import {breakOff} from '../exchange/mod.ts';
 import type {ByteReservation} from '../bytes/mod.ts';
@@ -15,6 +16,7 @@
 import {drainingError} from './draining_error.ts';
 import {notRunError} from './_not_run_error.ts';
 import {createRoutedRequest, type Sender} from './create_routed_request.ts';
+import {costOf} from './_cost_of.ts';
 import {rateRefusal} from './rate_refusal.ts';
 import {readBody} from './_read_body.ts';
 import {RequestLog} from './_request_log.ts';
@@ -177,7 +179,19 @@
     log.admittedAfterMilliseconds =
       this.options.clock.monotonicMilliseconds() - arrivedAt;
     log.target = metadata.model ?? '';
-    return loop.run();
+    const takenAt = clock.monotonicMilliseconds();
+    const error = await loop.run();
+    if (error?.run === RUN_STATES.notRun) this.refund(admitted, takenAt);
+    return error;
+  }
+
+  /** Returns the cost of a request that no endpoint has run to its team. */
+  private refund({metadata, team}: RoutedRequest, takenAt: number): void {
+    const terms = this.options
+      .routes()
+      ?.configuration.teams?.find(({name}) => name === team);
+    if (terms === undefined) return;
+    this.options.rateLimiter.refund?.(terms, costOf(terms, metadata), takenAt);
   }
 
   /** Finds the route and the team of a request; its head is enough. */
--- a/src/testing/admission_fleet.ts
+++ b/src/testing/admission_fleet.ts
@@ -244,9 +244,12 @@
           isStandbyHost: () => false,
           grantedShare: () => 1,
           evenShare,
+          coldShare: evenShare,
+          coldEngines: {overrun: 1, slack: 0},
           send: () => false,
           random: () => 0,
         }),
+        coldEngines: {presume: () => undefined, rateOf: () => undefined},
         dispatchWindow: window,
         clock,
         dataCentre: 'zone-a',
@@ -284,6 +287,7 @@
   return {
     name: SERVICE,
     connectionLimit: 1000,
+    coldStart: undefined,
     engines: {
       slots,
       weightsMegabytes: 100,
@@ -309,6 +313,7 @@
     state: 'ready',
     startedAt: 1,
     leavesInMilliseconds: undefined,
+    coldMilliseconds: 0,
     models: models.map(name => ({name, version: 1, adapters: []})),
     inMemory: [],
     onDisk: [],
--- a/src/testing/balancing_simulation.ts
+++ b/src/testing/balancing_simulation.ts
@@ -375,6 +375,7 @@
       state: 'ready',
       startedAt: 1,
       leavesInMilliseconds: undefined,
+      coldMilliseconds: 0,
       models: [],
       inMemory: [],
       onDisk: [],
--- a/src/testing/routed_requests.ts
+++ b/src/testing/routed_requests.ts
@@ -22,6 +22,7 @@
   return {
     name: 'engines',
     connectionLimit: 10,
+    coldStart: undefined,
     engines: {
       slots: 1,
       weightsMegabytes: 2,
@@ -118,9 +119,12 @@
       isStandbyHost: () => false,
       grantedShare: () => 1,
       evenShare: () => 1,
+      coldShare: () => 1,
+      coldEngines: {overrun: 1, slack: 0},
       send: () => false,
       random: () => 0,
     }),
+    coldEngines: {presume: () => undefined, rateOf: () => undefined},
     dispatchWindow: new DispatchWindow(new RunDurations(clock)),
     clock,
     dataCentre: 'zone-a',
