Hold responses for slow readers within the byte budget

Cause: a caller that did not read stopped the reading of the engine's response. Change: CallerWriter holds what a caller does not read, at most 8 MiB each and half of the byte budget for all. Reading stops when either is full. A caller without progress for 2 s is broken off with a reset while it delays an endpoint, while memory is scarce, or after its deadline. Lack of memory no longer counts against the endpoint. Event readerTooSlow (737), metrics limpetdale_held_for_callers_bytes and limpetdale_slow_readers_total. Tests: streamResponse takes the writer in place of the response, so two tests construct one; the expectation for a body beyond 8 MiB is now 'broken'.

--- a/src/bytes/byte_budget.ts
+++ b/src/bytes/byte_budget.ts
@@ -5,6 +5,14 @@
 export interface ByteReservation {
   /** Reserves more bytes. @returns False if the budget or the holder's share is used up. */
   grow(bytes: number): boolean;
+  /**
+   * Counts bytes that are held already, whether the budget has room for them or not.
+   *
+   * @returns False if the budget or the holder's share is used up.
+   */
+  add(bytes: number): boolean;
+  /** Gives some of the bytes back. */
+  shrink(bytes: number): void;
   /** Gives all bytes back. Further calls have no effect. */
   release(): void;
 }
@@ -21,6 +29,16 @@
     return this.totalBytes;
   }
 
+  /** Whether as much is reserved as one holder may use. */
+  get isScarce(): boolean {
+    return this.totalBytes >= this.limitBytes * HOLDER_SHARE;
+  }
+
+  /** Bytes that a holder has reserved now. */
+  heldBy(holder: string): number {
+    return this.heldBytes.get(holder) ?? 0;
+  }
+
   /**
    * Opens an empty reservation.
    *
@@ -29,27 +47,35 @@
   open(holder: string): ByteReservation {
     let reserved = 0;
     let isReleased = false;
+    const fits = (bytes: number) =>
+      this.heldBy(holder) + bytes <= this.limitBytes * HOLDER_SHARE &&
+      this.totalBytes + bytes <= this.limitBytes;
+    const change = (bytes: number) => {
+      reserved += bytes;
+      this.totalBytes += bytes;
+      const held = this.heldBy(holder) + bytes;
+      if (held > 0) this.heldBytes.set(holder, held);
+      else this.heldBytes.delete(holder);
+    };
     return {
       grow: bytes => {
-        if (isReleased) return false;
-        const held = (this.heldBytes.get(holder) ?? 0) + bytes;
-        if (
-          held > this.limitBytes * HOLDER_SHARE ||
-          this.totalBytes + bytes > this.limitBytes
-        )
-          return false;
-        this.heldBytes.set(holder, held);
-        this.totalBytes += bytes;
-        reserved += bytes;
+        if (isReleased || !fits(bytes)) return false;
+        change(bytes);
         return true;
       },
+      add: bytes => {
+        if (isReleased) return false;
+        const hasRoom = fits(bytes);
+        change(bytes);
+        return hasRoom;
+      },
+      shrink: bytes => {
+        if (!isReleased) change(-Math.min(bytes, reserved));
+      },
       release: () => {
         if (isReleased) return;
+        change(-reserved);
         isReleased = true;
-        this.totalBytes -= reserved;
-        const held = (this.heldBytes.get(holder) ?? 0) - reserved;
-        if (held > 0) this.heldBytes.set(holder, held);
-        else this.heldBytes.delete(holder);
       },
     };
   }
--- a/src/bytes/byte_budget_test.ts
+++ b/src/bytes/byte_budget_test.ts
@@ -19,6 +19,25 @@
     expect(budget.open('c').grow(50)).toBe(true);
   });
 
+  // Guards against bytes that are in memory and that nobody counts.
+  test('bytes that are held already count without room, and can be given back in parts', () => {
+    const budget = new ByteBudget(LIMIT_BYTES);
+    const reservation = budget.open('a');
+    expect(reservation.add(40)).toBe(true);
+    expect(budget.isScarce).toBe(false);
+    expect(reservation.add(40)).toBe(false);
+    expect(budget.isScarce).toBe(true);
+    expect(budget.heldBy('a')).toBe(80);
+    expect(budget.open('b').grow(30)).toBe(false);
+    reservation.shrink(50);
+    expect(budget.reservedBytes).toBe(30);
+    reservation.release();
+    reservation.shrink(10);
+    expect(reservation.add(10)).toBe(false);
+    expect(budget.reservedBytes).toBe(0);
+    expect(budget.heldBy('a')).toBe(0);
+  });
+
   // Guards against a budget that leaks, so that a host refuses requests for ever.
   test('any order of reservations and releases keeps the sum and the limit', () => {
     const step = fc.record({
--- a/src/bytes/byte_collector.ts
+++ b/src/bytes/byte_collector.ts
@@ -52,6 +52,19 @@
     return bytes;
   }
 
+  /** Returns the oldest collected bytes, at most 64 KiB, and forgets them. */
+  takeBlock(): Buffer | undefined {
+    if (this.totalBytes === 0) return undefined;
+    let oldest = this.fullBlocks.shift();
+    if (oldest === undefined) {
+      oldest = this.block.subarray(0, this.usedBytes);
+      this.block = Buffer.alloc(0);
+      this.usedBytes = 0;
+    }
+    this.totalBytes -= oldest.length;
+    return oldest;
+  }
+
   /** Forgets the collected bytes. */
   clear(): void {
     this.fullBlocks = [];
--- a/src/bytes/byte_collector_test.ts
+++ b/src/bytes/byte_collector_test.ts
@@ -21,6 +21,35 @@
     );
   });
 
+  // Guards against bytes of a stream that are lost or change their order while held.
+  test('returns the bytes in order in blocks, while others arrive', () => {
+    fc.assert(
+      fc.property(
+        fc.array(
+          fc.record({
+            piece: fc.uint8Array({maxLength: 3000}),
+            takes: fc.boolean(),
+          }),
+          {maxLength: 60},
+        ),
+        steps => {
+          const collector = new ByteCollector();
+          const taken: Uint8Array[] = [];
+          for (const {piece, takes} of steps) {
+            collector.append(piece);
+            const block = takes ? collector.takeBlock() : undefined;
+            if (block !== undefined) taken.push(block);
+          }
+          taken.push(collector.take());
+          const expected = Buffer.concat(steps.map(({piece}) => piece));
+          expect(Buffer.concat(taken).equals(expected)).toBe(true);
+          expect(collector.takeBlock()).toBeUndefined();
+        },
+      ),
+      {seed: 1, numRuns: 200},
+    );
+  });
+
   test('keeps no reference to the memory of a piece', () => {
     const collector = new ByteCollector();
     const piece = Buffer.from('abc');
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -382,6 +382,11 @@
     level: 'info',
     message: 'Interrupted stream resumed on another endpoint',
   },
+  readerTooSlow: {
+    number: 737,
+    level: 'warn',
+    message: 'Response broken off: its caller does not read it',
+  },
   streamEndedByKey: {
     number: 704,
     level: 'info',
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -9,6 +9,7 @@
 import type {AttemptContext} from './_attempt_context.ts';
 import type {AttemptOutcome} from './_attempt_outcome.ts';
 import {bufferResponse} from './_buffer_response.ts';
+import {CallerWriter} from './_caller_writer.ts';
 import {dispatchError} from './_dispatch_error.ts';
 import {EventSplitter} from './_event_splitter.ts';
 import {failureCode} from './_failure_code.ts';
@@ -34,6 +35,7 @@
   private readonly sentTo = new Set<string>();
   private readonly splitter = new EventSplitter();
   private readonly abortController = new AbortController();
+  private readonly writer: CallerWriter;
   /** Whether the current attempt has delivered an event or a whole response. */
   private hasBegun = false;
   private dispatchCount = 0;
@@ -44,7 +46,9 @@
   constructor(
     private readonly options: RequestRelayOptions,
     private readonly context: AttemptContext,
-  ) {}
+  ) {
+    this.writer = new CallerWriter(options, context);
+  }
 
   /** @returns The error to respond with; undefined when nothing is left to send. */
   async run(): Promise<RequestError | undefined> {
@@ -290,7 +294,11 @@
       `endpoint ${endpoint.record.id}`,
     );
     const body = await bufferResponse(endpointResponse, reservation);
-    if (body === undefined) {
+    if (body === 'no_memory') {
+      reservation.release();
+      return {kind: 'broken', reason: 'this host holds too many bytes'};
+    }
+    if (body === 'broken') {
       reservation.release();
       endpointResponse.abort();
       if (!this.isAborted) this.recordBrokenEndpoint(endpoint);
@@ -300,7 +308,9 @@
     endpoint.condition.recordAnswer(endpointResponse.status >= 500);
     const deliver = () => {
       writeResponseHead(response, endpointResponse, this.options, body.length);
-      response.end(body);
+      this.writer.end(body);
+      // The writer counts what the caller has not read yet.
+      reservation.release();
       log.served(endpointResponse.status, true);
     };
     if (!isSuccess && NOT_EXECUTED_STATUSES.has(status)) {
@@ -332,7 +342,7 @@
   ): Promise<AttemptOutcome> {
     const {request, response, log} = this.context;
     const outcome = await streamResponse(endpointResponse, {
-      response,
+      writer: this.writer,
       splitter: this.splitter,
       writeHead: first => {
         if (!response.headersSent)
@@ -346,7 +356,7 @@
       if (!this.hasBegun && !endpointResponse.isFramed)
         await run.recordBroken();
       endpoint.condition.recordAnswer(false);
-      response.end();
+      this.writer.end();
       log.served(endpointResponse.status, true);
       return {kind: 'delivered'};
     }
--- a/src/relay/_request_log.ts
+++ b/src/relay/_request_log.ts
@@ -2,6 +2,7 @@
 import {REQUEST_STEPS, type RequestStep, RUN_STATES} from '../errors/mod.ts';
 import type {Endpoint} from '../fleet/mod.ts';
 import type {EventFields} from '../observability/mod.ts';
+import type {SlowReaderReason} from './_caller_writer.ts';
 import type {RequestRelayOptions} from './relay_options.ts';
 import type {RequestMetadata} from './request_metadata.ts';
 
@@ -102,6 +103,15 @@
     this.options.logger.event('callerLeft', this.fields());
   }
 
+  /** Logs that a response is broken off because its caller does not read it. */
+  readerTooSlow(reason: SlowReaderReason, heldBytes: number): void {
+    const {metrics, logger} = this.options;
+    metrics.increment('limpetdale_slow_readers_total', {reason});
+    // A response of which the host holds the rest was counted as served.
+    if (!this.isEnded) this.end('reader_too_slow');
+    logger.event('readerTooSlow', {...this.fields(), reason, heldBytes});
+  }
+
   /** Logs a request that is still open when its host stops. */
   stillOpen(): void {
     this.options.logger.event('requestOpenAtStop', {
--- a/src/relay/_stream_response.ts
+++ b/src/relay/_stream_response.ts
@@ -1,10 +1,10 @@
-import type {ServerResponse} from 'node:http';
 import type {EndpointResponse} from '../exchange/mod.ts';
+import type {CallerWriter} from './_caller_writer.ts';
 import type {EventSplitter} from './_event_splitter.ts';
 
 /** State of a response stream to a caller, kept over all attempts. */
 export interface CallerStream {
-  readonly response: ServerResponse;
+  readonly writer: CallerWriter;
   readonly splitter: EventSplitter;
   /** Writes the response head unless it has been sent; called before each write. */
   readonly writeHead: (endpointResponse: EndpointResponse) => void;
@@ -23,21 +23,23 @@
 /** How the stream of one attempt ended. */
 export type StreamOutcome = 'complete' | 'broken';
 
-/** Forwards a stream as it arrives, with backpressure from the caller. */
+/**
+ * Forwards a stream as it arrives. What the caller does not read yet is held, and the
+ * reading of the endpoint's response stops only when no more can be held.
+ */
 export function streamResponse(
   endpointResponse: EndpointResponse,
   stream: CallerStream,
 ): Promise<StreamOutcome> {
   const {message} = endpointResponse;
-  const {response, splitter, forwardsWholeEvents} = stream;
+  const {writer, splitter, forwardsWholeEvents} = stream;
   let hasBegun = false;
   return new Promise(resolve => {
     const finish = (outcome: StreamOutcome) => {
-      response.removeListener('drain', resume);
+      writer.attach(undefined);
       resolve(outcome);
     };
-    const resume = () => message.resume();
-    response.on('drain', resume);
+    writer.attach(() => message.resume());
     message.on('data', (chunk: Buffer) => {
       const events = splitter.push(chunk);
       if (!hasBegun && events.length > 0) {
@@ -52,7 +54,7 @@
       const bytes = forwardsWholeEvents ? events : chunk;
       if (bytes.length === 0) return;
       stream.writeHead(endpointResponse);
-      if (!response.write(bytes)) message.pause();
+      if (!writer.write(bytes)) message.pause();
     });
     message.once('end', () => {
       const complete =
--- a/src/relay/_stream_response_test.ts
+++ b/src/relay/_stream_response_test.ts
@@ -1,8 +1,12 @@
-import {createServer as createHttpServer} from 'node:http';
+import {createServer as createHttpServer, type ServerResponse} from 'node:http';
 import {type AddressInfo, createServer, type Server} from 'node:net';
 import {afterEach, describe, expect, test} from 'vitest';
+import {ByteBudget} from '../bytes/mod.ts';
 import {EndpointAgent, sendToEndpoint} from '../exchange/mod.ts';
+import {Metrics} from '../observability/mod.ts';
 import {send} from '../testing/platform_caller.ts';
+import {SystemClock} from '../time/mod.ts';
+import {CallerWriter} from './_caller_writer.ts';
 import {EventSplitter} from './_event_splitter.ts';
 import {streamResponse} from './_stream_response.ts';
 
@@ -42,6 +46,21 @@
     : `${head}\r\n${body}`;
 }
 
+function callerWriter(response: ServerResponse): CallerWriter {
+  return new CallerWriter(
+    {
+      byteBudget: new ByteBudget(Infinity),
+      clock: new SystemClock(),
+      metrics: new Metrics(),
+    },
+    {
+      response,
+      request: {deadlineAt: Infinity},
+      log: {readerTooSlow: () => undefined},
+    },
+  );
+}
+
 describe('streamResponse', () => {
   const cases = [true, false].flatMap(isFramed =>
     [true, false].flatMap(forwardsWholeEvents => [
@@ -81,7 +100,7 @@
       const ended = new Promise<string>(resolve => {
         const host = createHttpServer((_request, response) => {
           void streamResponse(sent, {
-            response,
+            writer: callerWriter(response),
             splitter: new EventSplitter(),
             writeHead: () => undefined,
             onFirstEvent: () => undefined,
--- a/src/relay/endless_response_test.ts
+++ b/src/relay/endless_response_test.ts
@@ -1,4 +1,8 @@
-import {createServer as createHttpServer, Agent} from 'node:http';
+import {
+  createServer as createHttpServer,
+  Agent,
+  type ServerResponse,
+} from 'node:http';
 import {type AddressInfo, createServer, type Socket} from 'node:net';
 import {afterEach, describe, expect, test} from 'vitest';
 import {
@@ -7,8 +11,11 @@
   EndpointAgent,
   sendToEndpoint,
 } from '../exchange/mod.ts';
+import {Metrics} from '../observability/mod.ts';
+import {SystemClock} from '../time/mod.ts';
 import {bufferResponse} from './_buffer_response.ts';
 import {ByteBudget} from '../bytes/mod.ts';
+import {CallerWriter} from './_caller_writer.ts';
 import {EventSplitter} from './_event_splitter.ts';
 import {streamResponse} from './_stream_response.ts';
 
@@ -66,6 +73,21 @@
   });
 }
 
+function callerWriter(response: ServerResponse): CallerWriter {
+  return new CallerWriter(
+    {
+      byteBudget: new ByteBudget(Infinity),
+      clock: new SystemClock(),
+      metrics: new Metrics(),
+    },
+    {
+      response,
+      request: {deadlineAt: Infinity},
+      log: {readerTooSlow: () => undefined},
+    },
+  );
+}
+
 describe('an endpoint that sends bytes without end', () => {
   test.each([
     {name: 'in a header', start: 'HTTP/1.1 200 OK\r\nName: ', repeated: CHUNK},
@@ -89,11 +111,21 @@
     if (outcome.kind !== 'answer') throw new Error(outcome.reason);
     expect(
       await bufferResponse(outcome, new ByteBudget(Infinity).open('endpoint')),
-    ).toBeUndefined();
+    ).toBe('broken');
     await expect.poll(() => sent.closed).toBe(true);
     expect(sent.bytes).toBeLessThan(TOO_MANY_BYTES);
   });
 
+  // Guards against endpoints that count as broken because this host lacks memory.
+  test('in a body beyond the budget of this host is told from a broken one', async () => {
+    const {address, sent} = await startEndless(HEAD, CHUNK);
+    const outcome = await sendTo(address);
+    if (outcome.kind !== 'answer') throw new Error(outcome.reason);
+    const reservation = new ByteBudget(CHUNK.length * 20).open('endpoint');
+    expect(await bufferResponse(outcome, reservation)).toBe('no_memory');
+    await expect.poll(() => sent.closed).toBe(true);
+  });
+
   test('in a body that is discarded gets its connection closed', async () => {
     const {address, sent} = await startEndless(HEAD, CHUNK);
     const outcome = await sendTo(address);
@@ -112,7 +144,7 @@
       const ended = await new Promise<string>(resolve => {
         const caller = createHttpServer((_request, response) => {
           void streamResponse(outcome, {
-            response,
+            writer: callerWriter(response),
             splitter: new EventSplitter(),
             writeHead: () => undefined,
             onFirstEvent: () => undefined,
--- a/src/testing/platform_endpoint_stand_in.ts
+++ b/src/testing/platform_endpoint_stand_in.ts
@@ -37,7 +37,7 @@
   | 'hangs'
   /** Sends the first event of a stream and no end. */
   | 'stalls'
-  /** Sends a stream without an end as fast as it is read. */
+  /** Sends a stream of `floodBytes` as fast as it is read. */
   | 'floods'
   /** Ends the body without a length and with a reset. */
   | 'unframed_reset'
@@ -73,6 +73,12 @@
   trouble: EndpointTrouble = 'none';
   /** Body of the answers that are no streams. */
   answerBody = 'the whole answer';
+  /** Size of the streams that flood; without an end by default. */
+  floodBytes = Infinity;
+  /** Time after which a flood that remains unread is cut off. */
+  unreadMilliseconds = Infinity;
+  /** Floods that were cut off. */
+  cutOffs = 0;
   /** Time that a run takes. */
   runMilliseconds = 0;
   /** Delay before an answer that says that the request did not run. */
@@ -358,11 +364,32 @@
     }
   }
 
-  private flood(response: ServerResponse): void {
+  private flood(response: ServerResponse, sentBytes = 0): void {
     if (response.closed) return;
+    if (sentBytes >= this.floodBytes) {
+      response.end();
+      return;
+    }
     const event = `data: ${'x'.repeat(FLOOD_EVENT_BYTES)}\n\n`;
-    if (response.write(event)) setImmediate(() => this.flood(response));
-    else response.once('drain', () => this.flood(response));
+    const goOn = () => this.flood(response, sentBytes + event.length);
+    if (response.write(event)) {
+      setImmediate(goOn);
+      return;
+    }
+    const timer =
+      this.unreadMilliseconds === Infinity
+        ? undefined
+        : setTimeout(() => {
+            this.cutOffs++;
+            response.socket?.resetAndDestroy();
+          }, this.unreadMilliseconds);
+    const cancel = () => clearTimeout(timer);
+    response.once('close', cancel);
+    response.once('drain', () => {
+      cancel();
+      response.removeListener('close', cancel);
+      goOn();
+    });
   }
 
   private stream(
