--- a/src/relay/_caller_writer.ts
+++ b/src/relay/_caller_writer.ts
@@ -28,7 +28,7 @@
 export type SlowReaderReason =
   /** The buffer or the budget is full, so the endpoint's response remains unread. */
   | 'endpoint_blocked'
-  /** The endpoint has finished, but others need the memory. */
+  /** Half of the byte budget is in use. */
   | 'memory'
   /** The endpoint has finished, and the deadline has passed. */
   | 'deadline';
