Wait until the last order of a former manager has arrived or been abandoned

Cause: a new manager trusted reports from 500 ms after the former one could have sent its last order, which can be under way for 800 ms (found by the review). Change: it adds the 1 s after which an order has arrived or been abandoned.

--- a/src/engines/pool_lease.ts
+++ b/src/engines/pool_lease.ts
@@ -123,7 +123,9 @@
       return Number.NEGATIVE_INFINITY;
     return Math.min(
       held.ordersAllowedFrom,
-      held.previousOrderAt + REPORT_LAG_MILLISECONDS,
+      held.previousOrderAt +
+        ORDER_TIMEOUT_MILLISECONDS +
+        REPORT_LAG_MILLISECONDS,
     );
   }
 
