--- a/src/admission/_waiting_request.ts
+++ b/src/admission/_waiting_request.ts
@@ -1,12 +1,14 @@
 import type {Endpoint, WaitingCount} from '../fleet/mod.ts';
 import {type RoutedRequest, targetOf} from '../relay/mod.ts';
 import {
+  admissionLevel,
   type AdmissionTerms,
   isImmediate,
   onTimeUntil,
 } from './admission_level.ts';
 import type {AdmissionOutcome} from './admission_outcome.ts';
 import type {PlaceKind} from './place_estimate.ts';
+import type {RoomClaim} from './room_share.ts';
 
 /** A request that asks for room. */
 export interface AdmissionCandidate {
@@ -35,6 +37,8 @@
   terms: AdmissionTerms;
   /** Monotonic time from which it waits. */
   readonly since: number;
+  /** Window of counts since which there has been room for it; undefined if none. */
+  roomSince: number | undefined;
   readonly settle: (outcome: AdmissionOutcome) => void;
 }
 
@@ -106,5 +110,20 @@
     service: request.service.name,
     team: request.team ?? '',
     target: targetOf(request.metadata),
+    roomSince: undefined,
+  };
+}
+
+/** What a request asks of the slots of its candidates in a window of counts. */
+export function roomClaim(
+  {terms, roomSince}: WaitingRequest,
+  candidates: readonly Endpoint[],
+  {now, window}: {now: number; window: number},
+): RoomClaim {
+  return {
+    candidates,
+    level: admissionLevel(terms, now),
+    isImmediate: isImmediate(terms, now),
+    windowsWithRoom: window - (roomSince ?? window),
   };
 }
--- a/src/admission/ordered_admission.ts
+++ b/src/admission/ordered_admission.ts
@@ -3,24 +3,27 @@
 import type {CancelTimer} from '../time/mod.ts';
 import {AdmissionLog} from './_admission_log.ts';
 import {atMost} from './_at_most.ts';
-import {outcomeLabel} from './_outcome_label.ts';
 import {
   type AdmissionCandidate,
   admissionTerms,
   countWaiting,
   createWaitingRequest,
   placeKind,
+  roomClaim,
   type WaitingRequest,
 } from './_waiting_request.ts';
 import {Reservations} from './_reservations.ts';
 import {
   admissionLevel,
   type AdmissionTerms,
-  isImmediate,
   onTimeUntil,
   reachesLevelAt,
 } from './admission_level.ts';
-import type {AdmissionOutcome, RefusalReason} from './admission_outcome.ts';
+import {
+  type AdmissionOutcome,
+  outcomeLabel,
+  type RefusalReason,
+} from './admission_outcome.ts';
 import type {AdmissionPreview} from './admission_preview.ts';
 import type {OrderedAdmissionOptions} from './ordered_admission_options.ts';
 import {PlaceEstimate} from './place_estimate.ts';
@@ -179,10 +182,13 @@
       const needed =
         levelNeeded.get(candidates) ?? this.room.levelNeeded(candidates);
       levelNeeded.set(candidates, needed);
-      const endpoint =
-        admissionLevel(terms, now) > needed
-          ? this.placeFor(entry, candidates, replaceable)
-          : undefined;
+      const hasRoom = admissionLevel(terms, now) > needed;
+      entry.roomSince = hasRoom
+        ? (entry.roomSince ?? this.room.window)
+        : undefined;
+      const endpoint = hasRoom
+        ? this.placeFor(entry, candidates, replaceable)
+        : undefined;
       if (endpoint !== undefined) {
         levelNeeded.clear();
         this.reservations.add(endpoint, now);
@@ -214,21 +220,17 @@
     const {below, level, hasRoom} = this.roomFor(entry, candidates);
     if (replaceable !== undefined && below.includes(replaceable))
       return replaceable;
-    return hasRoom
-      ? entry.candidate.choose(
-          below,
-          this.room.draw({candidates: below, level}),
-        )
-      : undefined;
+    if (!hasRoom) return undefined;
+    const drawn = this.room.draw({candidates: below, level});
+    return entry.candidate.choose(below, drawn);
   }
 
-  private roomFor({terms}: WaitingRequest, candidates: readonly Endpoint[]) {
-    const now = this.now();
-    const level = admissionLevel(terms, now);
-    const below = this.room.below({candidates, level});
-    const claim = {candidates, level, isImmediate: isImmediate(terms, now)};
+  private roomFor(entry: WaitingRequest, candidates: readonly Endpoint[]) {
+    const {window} = this.room;
+    const claim = roomClaim(entry, candidates, {now: this.now(), window});
+    const below = this.room.below(claim);
     const hasRoom = below.length > 0 && this.room.allows(claim);
-    return {below, level, hasRoom};
+    return {below, level: claim.level, hasRoom};
   }
 
   /**
