--- a/src/admission/_waiting_request.ts
+++ b/src/admission/_waiting_request.ts
@@ -1,12 +1,14 @@
 import type {Endpoint, WaitingCount} from '../fleet/mod.ts';
-import type {RoutedRequest} from '../relay/mod.ts';
+import {type RoutedRequest, targetOf} from '../relay/mod.ts';
 import {
+  admissionLevel,
   type AdmissionTerms,
   isImmediate,
   onTimeUntil,
 } from './admission_level.ts';
 import type {AdmissionOutcome} from './admission_outcome.ts';
 import type {PlaceKind} from './place_estimate.ts';
+import type {RoomClaim} from './room_share.ts';
 
 /** A request that asks for room. */
 export interface AdmissionCandidate {
@@ -97,3 +99,31 @@
   if (isImmediate(terms, now)) return 'immediate';
   return since < now && now <= onTimeUntil(terms) ? 'on_time' : 'other';
 }
+
+/** Describes a candidate that begins to wait. */
+export function createWaitingRequest(
+  waiting: Pick<WaitingRequest, 'candidate' | 'settle' | 'since' | 'terms'>,
+): WaitingRequest {
+  const {request} = waiting.candidate;
+  return {
+    ...waiting,
+    service: request.service.name,
+    team: request.team ?? '',
+    target: targetOf(request.metadata),
+    roomSince: undefined,
+  };
+}
+
+/** What a request asks of the slots of its candidates in a window of counts. */
+export function roomClaim(
+  {terms, roomSince}: WaitingRequest,
+  candidates: readonly Endpoint[],
+  {now, window}: {now: number; window: number},
+): RoomClaim {
+  return {
+    candidates,
+    level: admissionLevel(terms, now),
+    isImmediate: isImmediate(terms, now),
+    windowsWithRoom: window - (roomSince ?? window),
+  };
+}
--- a/src/engines/_limited_endpoints.ts
+++ b/src/engines/_limited_endpoints.ts
@@ -72,6 +72,36 @@
     return closedUntil > now ? closedUntil : undefined;
   }
 
+  /** Whether one of some endpoints takes any number of requests now. */
+  isAnyOpen(
+    endpoints: readonly Endpoint[],
+    excluded: ReadonlySet<string>,
+  ): boolean {
+    return endpoints.some(
+      endpoint => !excluded.has(endpoint.incarnation) && this.isOpen(endpoint),
+    );
+  }
+
+  /**
+   * Whether requests go past an endpoint for which this host gives no permit yet, since it
+   * has just been found to be cold and another one takes them at once.
+   *
+   * @param candidates All endpoints that the request may be sent to.
+   */
+  isPassedOver(
+    {incarnation}: Endpoint,
+    candidates: readonly Endpoint[],
+    excluded: ReadonlySet<string>,
+  ): boolean {
+    const {clock, limits} = this.options;
+    const phase = limits.coldPhaseOf(incarnation);
+    return (
+      phase !== undefined &&
+      phase.quietUntil > clock.monotonicMilliseconds() &&
+      this.isAnyOpen(candidates, excluded)
+    );
+  }
+
   /** Records what a response says of its endpoint. */
   observe(
     endpoint: Endpoint,
@@ -115,11 +145,8 @@
     const {endpoint, request, waitsUntil, hasOther} = candidate;
     const {clock, limits, permits, registry} = this.options;
     const {incarnation} = endpoint;
-    const giveUpAt = Math.min(
-      clock.monotonicMilliseconds() +
-        Math.max(SHORT_WAIT_MILLISECONDS, request.route.objectiveMilliseconds),
-      waitsUntil,
-    );
+    const giveUpAt =
+      clock.monotonicMilliseconds() + this.permitHorizon(request, waitsUntil);
     for (;;) {
       const closedUntil = this.closedUntil(endpoint);
       if (closedUntil !== undefined) return closedUntil;
@@ -149,6 +176,14 @@
     return clock.monotonicMilliseconds() <= at + LATE_MILLISECONDS;
   }
 
+  /** Longest milliseconds that a request waits for a permit. */
+  permitHorizon(request: RoutedRequest, waitsUntil: number): number {
+    return Math.min(
+      Math.max(SHORT_WAIT_MILLISECONDS, request.route.objectiveMilliseconds),
+      waitsUntil - this.options.clock.monotonicMilliseconds(),
+    );
+  }
+
   /** Ends early once the endpoint is evacuated, so that another one is chosen. */
   private async waitForPermit(
     endpoint: Endpoint,
--- a/src/engines/mod.ts
+++ b/src/engines/mod.ts
@@ -21,7 +21,8 @@
   EndpointBalancer,
   type EndpointBalancerOptions,
 } from './endpoint_balancer.ts';
-export {EndpointRouter, type EndpointRouterOptions} from './endpoint_router.ts';
+export {EndpointRouter} from './endpoint_router.ts';
+export type {EndpointRouterOptions} from './endpoint_router_options.ts';
 export type {
   EngineControl,
   EngineOrder,
@@ -38,6 +39,14 @@
 } from './forecast_loads.ts';
 export {loadBenefit} from './load_benefit.ts';
 export type {LoadTier} from './load_tier.ts';
+export {
+  type AdmissionFigures,
+  type EndpointExplanation,
+  EXCLUSION_REASONS,
+  type ExclusionReason,
+  type PlacementExplanation,
+  type PlacementOutcome,
+} from './placement_explanation.ts';
 export type {ModelDemand} from './model_demand.ts';
 export {type PlacementInput, planPlacement} from './plan_placement.ts';
 export type {EngineSnapshot} from './engine_snapshot.ts';
