--- a/src/engines/pool_lease.ts
+++ b/src/engines/pool_lease.ts
@@ -1,6 +1,12 @@
 import {unreachable} from '../errors/mod.ts';
 import {sleep} from '../time/mod.ts';
 import type {LeaseContent} from './_lease_content.ts';
+import {
+  engineOrdersFrom,
+  type HeldLease,
+  ORDER_TIMEOUT_MILLISECONDS,
+  reportsCompleteFrom,
+} from './_held_lease.ts';
 import {LeaseHistory, VALIDITY_MILLISECONDS} from './_lease_history.ts';
 import {
   LEASE_TABLE,
@@ -23,27 +29,9 @@
 
 const STORE_RESTORED_REASON = 'the store has come back from an older copy';
 
-/** Time after which an order that was sent has arrived or been abandoned. */
-const ORDER_TIMEOUT_MILLISECONDS = 1000;
-
-/**
- * Time by which the report of an engine can lag behind its state. The platform names
- * some hundred milliseconds.
- */
-const REPORT_LAG_MILLISECONDS = 500;
-
 /** Pause after a failed attempt to acquire the lease. */
 const LOST_RACE_PAUSE_MILLISECONDS = 600;
 
-interface HeldLease {
-  readonly epoch: number;
-  readonly era: number;
-  readonly version: number;
-  readonly ordersAllowedFrom: number;
-  /** Latest time at which a previous holder can have sent an order. */
-  readonly previousOrderAt: number;
-}
-
 /**
  * Lease stored as a row of the store. The holder renews the row periodically;
  * another host takes over a row that has been unchanged for longer than the
@@ -104,13 +92,10 @@
     const {held} = this;
     if (held === undefined) return Number.POSITIVE_INFINITY;
     const now = this.options.clock.monotonicMilliseconds();
-    if (formerOrderAt === undefined || !this.knowsSettledEngines)
-      return held.ordersAllowedFrom - now;
-    const settledFrom = Math.max(
-      this.engineReportsFrom,
-      formerOrderAt + this.options.handoverDelayMilliseconds,
-    );
-    return Math.min(held.ordersAllowedFrom, settledFrom) - now;
+    const {handoverDelayMilliseconds, ordersBySettledEngine} = this.options;
+    return formerOrderAt === undefined || ordersBySettledEngine !== true
+      ? held.ordersAllowedFrom - now
+      : engineOrdersFrom(held, formerOrderAt, handoverDelayMilliseconds) - now;
   }
 
   /**
@@ -119,18 +104,9 @@
    */
   get engineReportsFrom(): number {
     const {held} = this;
-    if (held === undefined || !this.knowsSettledEngines)
-      return Number.NEGATIVE_INFINITY;
-    return Math.min(
-      held.ordersAllowedFrom,
-      held.previousOrderAt +
-        ORDER_TIMEOUT_MILLISECONDS +
-        REPORT_LAG_MILLISECONDS,
-    );
-  }
-
-  private get knowsSettledEngines(): boolean {
-    return this.options.ordersBySettledEngine === true;
+    return held === undefined || this.options.ordersBySettledEngine !== true
+      ? Number.NEGATIVE_INFINITY
+      : reportsCompleteFrom(held);
   }
 
   /**
--- a/src/engines/pool_manager.ts
+++ b/src/engines/pool_manager.ts
@@ -5,6 +5,7 @@
 import {demandByModel} from './_demand_by_model.ts';
 import {DetachedLoads} from './_detached_loads.ts';
 import {EngineReporter} from './_engine_reporter.ts';
+import {formerOrderTime, mayOrderAny} from './_former_orders.ts';
 import {OrderDispatcher} from './_order_dispatcher.ts';
 import {preloadConcurrency} from './_preload_concurrency.ts';
 import {snapshotEngines} from './_snapshot_engines.ts';
@@ -71,7 +72,7 @@
       ...options,
       signal: this.stopping.signal,
       onReport: (engine, pending) => {
-        engine.formerOrderAt ??= this.formerOrderTime(engine);
+        engine.formerOrderAt ??= formerOrderTime(engine, options);
         this.recordSettledOrder(
           engine,
           pending,
@@ -142,7 +143,8 @@
     this.applyRows(service.name, now);
     if (isNewTerm) this.rates.expect(expectedRates(this.engines.values()));
     this.announceChanges();
-    if (!this.mayOrderAny() || this.budget === undefined) return;
+    if (!mayOrderAny(lease, this.engines.values())) return;
+    if (this.budget === undefined) return;
     const {load} = this.options;
     const inFlight = load.inFlight();
     const waiting = load.waiting(service.name);
@@ -207,24 +209,6 @@
     );
   }
 
-  /**
-   * Time before which former managers sent their last order to an engine, if its report
-   * counts as many orders as they have announced.
-   */
-  private formerOrderTime({
-    record,
-    ordersAccepted,
-  }: EngineState): number | undefined {
-    if (ordersAccepted === 0) return Number.NEGATIVE_INFINITY;
-    const announced = this.options.announcedOrders?.(
-      record.id,
-      record.startedAt,
-    );
-    return announced !== undefined && announced.accepted === ordersAccepted
-      ? announced.since
-      : undefined;
-  }
-
   private endTerm(): void {
     this.engines.clear();
     this.detachedLoads.clear();
@@ -283,15 +267,6 @@
       this.reporter.requestIfNeeded(engine, now);
   }
 
-  /** Whether the lease permits orders to at least one engine. */
-  private mayOrderAny(): boolean {
-    const {lease} = this.options;
-    if (lease.mayIssueOrders()) return true;
-    return [...this.engines.values()].some(({formerOrderAt}) =>
-      lease.mayOrder(formerOrderAt),
-    );
-  }
-
   /** Records the completion of an order. */
   private recordSettledOrder(
     engine: EngineState,
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -214,14 +214,12 @@
       runCount: this.runCount,
       signal: this.abortController.signal,
     });
-    const {condition} = endpoint;
     switch (sent.kind) {
       case 'unsent':
         // An endpoint whose connections are all in use is busy, not broken.
         if (!this.isAborted && !sent.wasQueued) {
-          condition.recordConnectFailure(
-            this.options.clock.monotonicMilliseconds(),
-          );
+          const now = this.options.clock.monotonicMilliseconds();
+          endpoint.condition.recordConnectFailure(now);
           this.options.endpoints.noteUnreachable(endpoint);
         }
         return {
