--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -86,7 +86,7 @@
     .array(z.string())
     .default([])
     .describe(
-      'What the platform has agreed for the deployment; switches on the features that it calls for unless a setting names them.',
+      'What the platform has agreed for the deployment; switches on the features that it calls for unless a setting names them. `LIMPETDALE_AGREEMENTS` in the environment replaces it, separated by commas.',
     ),
   handover: z
     .enum(['pool', 'engine'])
@@ -126,7 +126,7 @@
     })
     .default({overrun: 1, slack: 0})
     .describe(
-      'Requests that a cold endpoint may get in any one second: its requests a second times `overrun`, plus `slack`.',
+      'Requests that a cold endpoint may get in any one second: its requests a second times `overrun`, plus `slack`. `LIMPETDALE_COLD_OVERRUN` and `LIMPETDALE_COLD_SLACK` in the environment replace them.',
     ),
   log: z
     .object({
--- a/src/entry/run_entry.ts
+++ b/src/entry/run_entry.ts
@@ -11,13 +11,11 @@
 import {sleep, SystemClock} from '../time/mod.ts';
 import {EntryHost} from './entry_host.ts';
 import {type EntrySettings, entrySettingsSchema} from './entry_settings.ts';
+import {environmentSettings} from './environment_settings.ts';
 
 /** Environment variable with the path of the settings file. */
 const SETTINGS_VARIABLE = 'LIMPETDALE_BOOT';
 
-/** Environment variable with the memory limit of the process, in MB. */
-const MEMORY_VARIABLE = 'LIMPETDALE_MEMORY_MB';
-
 /** Time-out for writing the queued log lines before the process exits. */
 const LOG_FLUSH_MILLISECONDS = 50;
 
@@ -67,13 +65,18 @@
     process.stdout.write(`Settings file "${flags.settings}" is valid\n`);
     return;
   }
-  const memoryMegabytes = Number(process.env[MEMORY_VARIABLE]);
+  const environment = environmentSettings(process.env, settings.value);
+  if (!environment.ok) {
+    fail(environment.error, EXIT_CODES.usage);
+    return;
+  }
+  const {agreements = settings.value.agreements} = environment.value;
   await serve(
     flags.settings,
     {
-      ...deploymentFeatures(settings.value.agreements),
+      ...deploymentFeatures(agreements),
       ...settings.value,
-      ...(memoryMegabytes > 0 ? {memoryMegabytes} : {}),
+      ...environment.value,
     },
     signals,
   );
--- a/src/entry/settings_template_test.ts
+++ b/src/entry/settings_template_test.ts
@@ -14,7 +14,6 @@
   },
   internal_port_range: [7600, 7615],
   initial_bootstrap: true,
-  contracts: ['base', 'engine', 'pool'],
   platform: {address: '10.200.1.7:8225'},
   limits: {cpu_share: 0.675, cpu_cores: 1, link_mbps: 140},
   bounds: {
@@ -28,56 +27,27 @@
   },
 };
 
-const CASES = [
-  {name: 'without cold engines', bounds: {}, expected: [1, 0]},
-  {
-    name: 'with cold engines',
-    bounds: {cold_overrun: 1.5, cold_slack: 5},
-    expected: [1.5, 5],
-  },
-  {
-    name: 'with cold engines and no slack',
-    bounds: {cold_overrun: 1.5},
-    expected: [1.5, 0],
-  },
-];
-
-// Guards against a template that renders an invalid settings file, also where the
-// platform's settings lack optional values.
-test.each(CASES)('renders valid settings $name', ({bounds, expected}) => {
-  const fields = {...FIELDS, bounds: {...FIELDS.bounds, ...bounds}};
+// Guards against a template that renders an invalid settings file.
+test('the template renders valid settings', () => {
   const template = readFileSync(
     new URL('../../deploy/settings.json.template', import.meta.url),
     'utf8',
   );
-  const text = renderSections(template, fields).replace(
+  const text = template.replace(
     /\{\{([\w.]+)\|json\}\}/g,
-    (_match, path: string) => JSON.stringify(valueAt(fields, path)) ?? '',
+    (_match, path: string) => JSON.stringify(valueAt(path)),
   );
   const parsed = entrySettingsSchema.safeParse(JSON.parse(text));
   expect(parsed.success).toBe(true);
-  const [overrun, slack] = expected;
   expect(parsed.data).toMatchObject({
     hostId: 'frontend-a-1',
     peerPort: 7600,
     isFirstStart: true,
-    coldEngines: {overrun, slack},
   });
 });
 
-/** Renders a section if its value is present. */
-function renderSections(template: string, fields: unknown): string {
-  return template.replace(
-    /\{\{#([\w.]+)\}\}([^]*?)\{\{\/\1\}\}/g,
-    (_match, path: string, content: string) =>
-      valueAt(fields, path) === undefined
-        ? ''
-        : renderSections(content, fields),
-  );
-}
-
-function valueAt(fields: unknown, path: string): unknown {
-  let value = fields;
+function valueAt(path: string): unknown {
+  let value: unknown = FIELDS;
   for (const key of path.split('.')) {
     value = (value as Record<string, unknown>)[key];
   }
