--- a/review/7/case.js
+++ b/review/7/case.js
@@ -6,7 +6,7 @@
 import {join} from 'node:path';
 import {RovingDemand} from '../support-2/caller.js';
 import {KEY, modelConfiguration} from '../support-2/configuration.js';
-import {now, runCase, sleep, until} from '../support-2/deployment.js';
+import {now, runCase, SITES, sleep, until} from '../support-2/deployment.js';
 import {ModelEngine} from '../support-2/model_engine.js';
 import {isCalm, Store} from '../support-2/store.js';
 
@@ -16,6 +16,7 @@
 
 await runCase(
   join(import.meta.dirname, 'record.txt'),
+  SITES.kaplama,
   async (deployment, record) => {
     const store = new Store();
     await store.listen('127.0.77.200');
--- a/review/support-2/deployment.js
+++ b/review/support-2/deployment.js
@@ -23,20 +23,38 @@
 
 const ROOT = fileURLToPath(new globalThis.URL('../..', import.meta.url));
 
-/** Bounds of the site file `kaplama-ist.toml`, as its sheet prints them. */
-export const BOUNDS = {
-  drain_ms: 2000,
-  grace_period_s: 8,
-  config_apply_ms: 2000,
-  retry_budget_ratio: 0.2,
-  budget_window_s: 10,
-  retry_budget_slack: 56,
-  lease_ms: 3000,
+/** What the sheets and site files say of the settings of two deployments. */
+export const SITES = {
+  kaplama: {
+    contracts:
+      'base,drain,config,cost,retry,recover,fleet,stream,engine,tenants,quota,platform',
+    limits: {cpu_share: 0.675, cpu_cores: 1, memory_mb: 350, link_mbps: 1000},
+    bounds: {
+      drain_ms: 2000,
+      grace_period_s: 8,
+      config_apply_ms: 2000,
+      retry_budget_ratio: 0.2,
+      budget_window_s: 10,
+      retry_budget_slack: 56,
+      lease_ms: 3000,
+    },
+  },
+  harborline: {
+    contracts:
+      'base,drain,config,cost,retry,recover,health,pool,fleet,stream,engine,tenants,quota,platform',
+    limits: {cpu_share: 0.783, cpu_cores: 1, memory_mb: 477, link_mbps: 140},
+    bounds: {
+      drain_ms: 3000,
+      grace_period_s: 8,
+      config_apply_ms: 3000,
+      retry_budget_ratio: 0.2,
+      budget_window_s: 10,
+      retry_budget_slack: 190,
+      lease_ms: 3000,
+    },
+  },
 };
 
-const CONTRACTS =
-  'base,drain,config,cost,retry,recover,fleet,stream,engine,tenants,quota,platform';
-
 export const sleep = milliseconds =>
   new Promise(resolve => setTimeout(resolve, milliseconds));
 
@@ -77,8 +95,9 @@
 }
 
 export class Deployment {
-  constructor(record) {
+  constructor(record, site) {
     this.record = record;
+    this.site = site;
     this.folder = mkdtempSync(join(tmpdir(), 'limpetdale-review-'));
     this.children = new Set();
     this.hosts = new Map();
@@ -122,8 +141,8 @@
       internal_port_range: [host.peerPort, host.peerPort],
       initial_bootstrap: host.isFirstStart,
       platform: {address: store.address},
-      bounds: BOUNDS,
-      limits: {cpu_share: 0.675, cpu_cores: 1, link_mbps: 1000},
+      bounds: this.site.bounds,
+      limits: this.site.limits,
     };
     const settings = template.replace(
       /\{\{([a-z_.0-9]+)\|json\}\}/g,
@@ -144,8 +163,8 @@
           PATH: process.env.PATH,
           HOME: process.env.HOME,
           LIMPETDALE_BOOT: host.settings,
-          LIMPETDALE_MEMORY_MB: '350',
-          LIMPETDALE_AGREEMENTS: CONTRACTS,
+          LIMPETDALE_MEMORY_MB: String(this.site.limits.memory_mb),
+          LIMPETDALE_AGREEMENTS: this.site.contracts,
           LIMPETDALE_COLD_OVERRUN: '',
           LIMPETDALE_COLD_SLACK: '',
         },
@@ -202,11 +221,13 @@
  * Runs a case and ends with its result: 1 if the rule was broken, 0 if it held, 2 if
  * the case could not run.
  *
+ * @param file Path of the record.
+ * @param site One of {@link SITES}.
  * @param run Returns the sentence that says how the rule was broken, if it was.
  */
-export async function runCase(file, run) {
+export async function runCase(file, site, run) {
   const record = new Record(file);
-  const deployment = new Deployment(record);
+  const deployment = new Deployment(record, site);
   let code;
   try {
     const broken = await run(deployment, record);
