--- a/review/support-2/deployment.js
+++ b/review/support-2/deployment.js
@@ -184,7 +184,7 @@
 
   /** Waits until a host answers its readiness check with 200. */
   async ready(host) {
-    await until(() => isReady(host.ready), 20_000, `readiness of ${host.name}`);
+    await until(() => isReady(host.ready), 45_000, `readiness of ${host.name}`);
     this.record.add(`${host.name}: ready`);
   }
 
--- a/review/support-2/order_server.js
+++ b/review/support-2/order_server.js
@@ -8,7 +8,10 @@
 const HEARTBEAT_MILLISECONDS = 1200;
 const SLOTS = 6;
 const QUEUE = 24;
-const LATE_MILLISECONDS = 5;
+/** Time after the next request on the connection at which extra bytes are sent. */
+const LATE_MILLISECONDS = 2;
+/** Time after which they are sent without a further request. */
+const LATEST_MILLISECONDS = 50;
 
 export class OrderServer {
   constructor({id, service, workMilliseconds, store, record, isSpoilt}) {
@@ -72,6 +75,8 @@
   }
 
   receive(socket, head) {
+    if (socket.sendExtra !== undefined)
+      setTimeout(socket.sendExtra, LATE_MILLISECONDS);
     const header = name =>
       new RegExp(`^${name}: (.*)$`, 'im').exec(head)?.[1]?.trim() ?? '';
     const id = header('request-id');
@@ -106,18 +111,23 @@
     socket.write(
       `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nServer-Signature: ${this.id}.${id}\r\nContent-Length: 8\r\n\r\naccepted`,
     );
-    if (this.isSpoilt(this)) {
-      this.spoilt++;
-      setTimeout(() => {
-        this.record.add(
-          `${this.id}: sends bytes that belong to no request after its answer to ${id}`,
-        );
-        socket.write(
-          'HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n',
-        );
-      }, LATE_MILLISECONDS);
-    }
+    if (this.isSpoilt(this)) this.spoil(socket, id);
     const next = this.queue.shift();
     if (next !== undefined) this.begin(next.socket, next.id);
   }
+  /** Sends bytes that belong to no request at the point of the next answer. */
+  spoil(socket, id) {
+    this.spoilt++;
+    socket.sendExtra = () => {
+      if (socket.sendExtra === undefined) return;
+      socket.sendExtra = undefined;
+      this.record.add(
+        `${this.id}: sends bytes that belong to no request after its answer to ${id}`,
+      );
+      socket.write(
+        'HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n',
+      );
+    };
+    setTimeout(() => socket.sendExtra?.(), LATEST_MILLISECONDS);
+  }
 }
