Give out no fencing token twice after the store was restored

Host 2 led with 1, host 1 took over and ordered with 2 and lost power, the store came back from a copy that said "host 2, 1", and host 2, started again, acquired the lease and ordered with 2 as well.

Cause: an epoch was the one of the row that an acquisition replaced, plus 1. The store can lose that row, and what hosts remember of later epochs ends with their processes.

Change: each era of the store has a range of epochs above that of the era before. Within an era an epoch is that of the replaced row plus 1 if a holder of this era wrote it; otherwise it comes from the version that the acquisition replaces. A version can be replaced once in an era, so this holds without any memory of hosts, also when a late transaction of an older era replaces the row of a later holder, or a row can't be read. An era or version too high for its range gives no epoch: epochsExhausted (315). leaseAcquired and orderGiven now state epoch, era and replaced version, so that such a case can be read from the logs alone.

--- a/src/engines/_held_lease.ts
+++ b/src/engines/_held_lease.ts
@@ -1,7 +1,9 @@
+import type {LeaseTerm} from './lease_term.ts';
+
 /** A lease that this host holds. Times are monotonic. */
 export interface HeldLease {
-  readonly epoch: number;
-  readonly era: number;
+  readonly term: LeaseTerm;
+  /** Version of the row that this host has written last. */
   readonly version: number;
   readonly ordersAllowedFrom: number;
   /** Latest time at which a previous holder can have sent an order. */
--- a/src/engines/_lease_watch.ts
+++ b/src/engines/_lease_watch.ts
@@ -10,6 +10,10 @@
 export interface WatchedRow {
   readonly content: LeaseContent | undefined;
   readonly version: number;
+  /** Era of the store in which the row was read. */
+  readonly era: number;
+  /** Monotonic time since which the row is known to be unchanged. */
+  readonly unchangedSince: number;
   /** Whether another host may take the lease over now. */
   readonly isAvailable: boolean;
 }
@@ -23,11 +27,6 @@
     private readonly history: LeaseHistory,
   ) {}
 
-  /** The row version last seen, and since when it is known to be the latest. */
-  get observation(): Observation | undefined {
-    return this.observed;
-  }
-
   /** Forgets what was seen, because the holder has been heard from or replaced. */
   reset(): void {
     this.observed = undefined;
@@ -60,7 +59,7 @@
       this.history.hasResigned(content) ||
       content.holder === hostId ||
       now - unchangedSince >= TAKEOVER_MILLISECONDS;
-    return {content, version, isAvailable};
+    return {content, version, era, unchangedSince, isAvailable};
   }
 
   /**
--- a/src/engines/_order_dispatcher.ts
+++ b/src/engines/_order_dispatcher.ts
@@ -80,11 +80,10 @@
     adapter: string | undefined,
   ): Promise<OrderOutcome> {
     const {lease, control, logger, metrics, hostId, isKnown} = this.options;
-    const {epoch} = lease;
-    const isCurrentTerm = epoch !== undefined && epoch === this.options.epoch();
-    if (!isCurrentTerm || !lease.mayOrder(engine.formerOrderAt)) {
+    const {term} = lease;
+    if (term === undefined || term.epoch !== this.options.epoch())
       return 'unsent';
-    }
+    if (!lease.mayOrder(engine.formerOrderAt)) return 'unsent';
     // It may have waited for evictions or notices, while the engine was evacuated.
     if (!isKnown(engine)) return 'unsent';
     const expectedOrders = engine.ordersAccepted;
@@ -96,7 +95,7 @@
       adapter,
       expectedOrders,
       holder: hostId,
-      fencingToken: epoch,
+      fencingToken: term.epoch,
     });
     lease.endOrder();
     logger.event('orderGiven', {
@@ -105,7 +104,7 @@
       model,
       adapter,
       expectedOrders,
-      epoch,
+      ...term,
       outcome,
     });
     metrics.increment('limpetdale_orders_total', {operation, outcome});
--- a/src/engines/mod.ts
+++ b/src/engines/mod.ts
@@ -53,6 +53,7 @@
 export type {PlannedLoad} from './planned_load.ts';
 export {PoolLease} from './pool_lease.ts';
 export type {LeaseRenewal} from './lease_renewal.ts';
+export type {LeaseTerm} from './lease_term.ts';
 export type {PoolLeaseOptions} from './pool_lease_options.ts';
 export {PoolManager} from './pool_manager.ts';
 export type {PoolManagerOptions} from './pool_manager_options.ts';
--- a/src/engines/pool_lease.ts
+++ b/src/engines/pool_lease.ts
@@ -1,20 +1,21 @@
 import {unreachable} from '../errors/mod.ts';
 import {sleep} from '../time/mod.ts';
-import type {LeaseContent} from './_lease_content.ts';
 import {
   engineOrdersFrom,
   type HeldLease,
-  ORDER_TIMEOUT_MILLISECONDS,
   reportsCompleteFrom,
 } from './_held_lease.ts';
+import {IssuedOrders} from './_issued_orders.ts';
 import {LeaseHistory, VALIDITY_MILLISECONDS} from './_lease_history.ts';
 import {
   LEASE_TABLE,
   type LeaseRow,
   LeaseRowWriter,
 } from './_lease_row_writer.ts';
-import {LeaseWatch} from './_lease_watch.ts';
+import {LeaseWatch, type WatchedRow} from './_lease_watch.ts';
+import {nextEpoch} from './_next_epoch.ts';
 import type {LeaseRenewal} from './lease_renewal.ts';
+import type {LeaseTerm} from './lease_term.ts';
 import type {PoolLeaseOptions} from './pool_lease_options.ts';
 
 const RENEWAL_MILLISECONDS = 500;
@@ -49,21 +50,26 @@
    */
   private unansweredRenewal:
     {startedAt: number; startedWallTime: number} | undefined;
-  private lastOrderAt = Number.NEGATIVE_INFINITY;
-  private ordersInFlight = 0;
+  private readonly orders: IssuedOrders;
   private readonly history: LeaseHistory;
   private readonly row: LeaseRowWriter;
   private readonly watch: LeaseWatch;
 
   constructor(private readonly options: PoolLeaseOptions) {
+    this.orders = new IssuedOrders(options.clock);
     this.history = new LeaseHistory(options);
     this.row = new LeaseRowWriter(options);
     this.watch = new LeaseWatch(options, this.history);
   }
 
+  /** Current term of this host; undefined while it doesn't hold the lease. */
+  get term(): LeaseTerm | undefined {
+    return this.held?.term;
+  }
+
   /** Fencing token of the lease; undefined while it isn't held. */
   get epoch(): number | undefined {
-    return this.held?.epoch;
+    return this.term?.epoch;
   }
 
   /** Whether this host may send orders now. */
@@ -121,13 +127,12 @@
 
   /** Records that an order is being sent. */
   beginOrder(): void {
-    this.ordersInFlight++;
-    this.lastOrderAt = this.options.clock.monotonicMilliseconds();
+    this.orders.begin();
   }
 
   /** Records that an order was answered or abandoned. */
   endOrder(): void {
-    this.ordersInFlight--;
+    this.orders.end();
   }
 
   /** Last renewal by this host; undefined while it doesn't hold the lease. */
@@ -137,7 +142,7 @@
     // Uses only the monotonic clock: after a wall-clock jump, a successor would
     // assume that the renewal is older than it is.
     return {
-      era: this.held.era,
+      era: this.held.term.era,
       version: this.held.version,
       sinceMilliseconds: now - this.renewedAt,
     };
@@ -192,11 +197,13 @@
     const {held} = this;
     this.held = undefined;
     if (held === undefined) return;
-    this.options.logger.event('leaseReleased', this.fields(held.epoch));
+    const {epoch} = held.term;
+    this.options.logger.event('leaseReleased', this.fields(epoch));
     const now = this.options.clock.monotonicMilliseconds();
-    this.options.onResigned?.(held.epoch, this.sinceLastOrder(held));
+    const sinceOrder = this.orders.sinceLast(held.previousOrderAt);
+    this.options.onResigned?.(epoch, sinceOrder);
     const mark = {
-      epoch: held.epoch,
+      epoch,
       released: true,
       active: now >= held.ordersAllowedFrom,
     };
@@ -212,16 +219,6 @@
     }
   }
 
-  /**
-   * Milliseconds since the last order, of a previous holder if this one has sent
-   * none; negative while one may still arrive.
-   */
-  private sinceLastOrder({previousOrderAt}: HeldLease): number {
-    if (this.ordersInFlight > 0) return -ORDER_TIMEOUT_MILLISECONDS;
-    const now = this.options.clock.monotonicMilliseconds();
-    return now - Math.max(this.lastOrderAt, previousOrderAt);
-  }
-
   private sinceRenewal(): number {
     const {clock} = this.options;
     const monotonic = clock.monotonicMilliseconds() - this.renewedAt;
@@ -237,7 +234,7 @@
     const startedAt = clock.monotonicMilliseconds();
     const startedWallTime = clock.now().getTime();
     const outcome = await this.row.write({
-      epoch: held.epoch,
+      epoch: held.term.epoch,
       expectedVersion: held.version,
       released: false,
       active: startedAt >= held.ordersAllowedFrom,
@@ -246,7 +243,7 @@
     switch (outcome.kind) {
       case 'committed':
         // The condition may have held by chance for a version that was given out again.
-        if (outcome.era !== held.era) {
+        if (outcome.era !== held.term.era) {
           this.resign(held, STORE_RESTORED_REASON);
           return 0;
         }
@@ -261,7 +258,7 @@
         this.resign(held, 'no renewal succeeded in time');
         return RENEWAL_MILLISECONDS;
       case 'conflict':
-        if (outcome.era !== held.era) {
+        if (outcome.era !== held.term.era) {
           this.resign(held, STORE_RESTORED_REASON);
           return 0;
         }
@@ -279,7 +276,7 @@
   private handleConflict(held: HeldLease, row: LeaseRow | undefined): number {
     if (row?.content.incarnation !== this.options.incarnation) {
       this.options.logger.event('leaseLost', {
-        ...this.fields(held.epoch),
+        ...this.fields(held.term.epoch),
         holder: row?.content.holder,
       });
       this.held = undefined;
@@ -298,14 +295,15 @@
     const {logger, onResigned} = this.options;
     const isOwn = reason === STORE_RESTORED_REASON && this.isHeld();
     this.held = undefined;
-    logger.event('leaseLost', {...this.fields(held.epoch), reason});
-    const sinceOrder = this.sinceLastOrder(held);
+    const {epoch} = held.term;
+    logger.event('leaseLost', {...this.fields(epoch), reason});
+    const sinceOrder = this.orders.sinceLast(held.previousOrderAt);
     this.history.recordResignation({
-      epoch: held.epoch,
+      epoch,
       lastOrderAt: this.options.clock.monotonicMilliseconds() - sinceOrder,
       isOwn,
     });
-    onResigned?.(held.epoch, sinceOrder);
+    onResigned?.(epoch, sinceOrder);
   }
 
   private async tryAcquire(): Promise<void> {
@@ -321,28 +319,33 @@
     }
     storeEra.observe(page.value.era, now);
     this.row.recordStoreTime(page.value.storeMilliseconds, startedAt);
-    const {content, version, isAvailable} = this.watch.evaluate(page.value);
-    if (!isAvailable) {
+    const row = this.watch.evaluate(page.value);
+    if (!row.isAvailable) {
       await sleep(clock, POLL_MILLISECONDS, signal);
       return;
     }
     await sleep(clock, random() * POLL_MILLISECONDS, signal);
     if (signal.aborted || this.options.hasHeardFromHolder()) return;
-    await this.acquire(content, version);
+    await this.acquire(row);
   }
 
-  private async acquire(
-    previous: LeaseContent | undefined,
-    version: number,
-  ): Promise<void> {
+  private async acquire(row: WatchedRow): Promise<void> {
     const {clock, logger, handoverDelayMilliseconds} = this.options;
+    const {content: previous, version, era, unchangedSince} = row;
     const startedAt = clock.monotonicMilliseconds();
     const startedWallTime = clock.now().getTime();
-    const {observation} = this.watch;
-    const era = observation?.era ?? 0;
-    const unchangedSince = observation?.unchangedSince ?? startedAt;
+    const epochOfRow = nextEpoch(row);
+    if (epochOfRow === undefined) {
+      logger.event('epochsExhausted', {
+        scope: this.options.scope,
+        era,
+        version,
+      });
+      await sleep(clock, LOST_RACE_PAUSE_MILLISECONDS, this.stopping.signal);
+      return;
+    }
     this.history.recordEpoch(previous?.epoch ?? 0);
-    const epoch = this.history.highestEpoch + 1;
+    const epoch = Math.max(epochOfRow, this.history.highestEpoch + 1);
     const isOwnTerm = this.history.isOwnTerm(previous, startedAt);
     const outcome = await this.row.write({
       epoch,
@@ -362,8 +365,7 @@
     );
     this.history.recordEpoch(epoch);
     this.held = {
-      epoch,
-      era,
+      term: {epoch, era, replacedVersion: version},
       version: outcome.version,
       ordersAllowedFrom: isOwnTerm
         ? startedAt
@@ -379,7 +381,11 @@
     this.options.onAcquired?.();
     logger.event('leaseAcquired', {
       ...this.fields(epoch),
+      era,
+      replacedVersion: version,
       former: previous?.holder,
+      formerEpoch: previous?.epoch,
+      formerEra: previous?.era,
       actsInMilliseconds: Math.max(
         0,
         Math.round(this.held.ordersAllowedFrom - startedAt),
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -204,6 +204,11 @@
     level: 'warn',
     message: 'Writing a lease row failed',
   },
+  epochsExhausted: {
+    number: 315,
+    level: 'error',
+    message: 'Era or version of the store is too high for an epoch',
+  },
 
   loanGranted: {number: 400, level: 'debug', message: 'Token loan granted'},
   loanDenied: {number: 401, level: 'info', message: 'Token loan denied'},
