Believe no lease row of an older era of the store

What callers would see: orders of two hosts to one engine within lease_ms, or by turns, after the store came back from an older copy (ONE).

Cause: a transaction that got no answer may be carried out seconds later, if its condition still holds, and versions are given out again in a new era. A release or renewal of the era before can then replace the row of a later holder. The next host believed this row: that the lease was released, that it is its own, or that it is as old as the renewal it states. docs/design/manager_handover.md said that the age of a row is used within one era only; the code did not check that.

Change: a row that was written in another era than it is read in (isOfOwnEra) says nothing about the holders of this era; it has to be unchanged from its first sight for the takeover time. The same holds for a row that can't be decoded, which counted as a lease that nobody held. The first order after a drill comes no later than before: it was already counted from the time at which the host saw the new era.

--- a/src/engines/_lease_history.ts
+++ b/src/engines/_lease_history.ts
@@ -1,6 +1,6 @@
 import type {StoreEra} from '../stores/mod.ts';
 import type {Clock} from '../time/mod.ts';
-import type {LeaseContent} from './_lease_content.ts';
+import {isOfOwnEra, type ObservedRow} from './_observed_row.ts';
 import type {LeaseRenewal} from './lease_renewal.ts';
 
 /** Validity of the lease from the start of the last successful renewal. */
@@ -76,10 +76,17 @@
     this.lastResignation = resignation;
   }
 
-  /** Whether the last holder sends no more orders, according to its own report. */
-  hasResigned({epoch}: LeaseContent): boolean {
-    const resigned = this.lastResignation?.epoch;
-    return resigned !== undefined && resigned >= Math.max(epoch, this.epoch);
+  /**
+   * Whether the last holder sends no more orders, according to its own report. A row of
+   * an older era may hide a later holder, unless this host held the lease until it saw
+   * the store come back.
+   */
+  hasResigned(row: ObservedRow): boolean {
+    const resignation = this.lastResignation;
+    if (resignation === undefined) return false;
+    if (!isOfOwnEra(row) && !resignation.isOwn) return false;
+    const epoch = Math.max(row.content?.epoch ?? 0, this.epoch);
+    return resignation.epoch >= epoch;
   }
 
   /**
@@ -87,34 +94,33 @@
    * its own term without a handover delay, but only if the delay of that term had
    * already passed.
    */
-  isOwnTerm(previous: LeaseContent | undefined, startedAt: number): boolean {
+  isOwnTerm(previous: ObservedRow, startedAt: number): boolean {
     const {hostId, handoverDelayMilliseconds} = this.options;
     const resignation = this.lastResignation;
     if (resignation?.epoch === this.epoch && resignation.isOwn) return true;
     // The store may have lost the row of a later holder.
     const settledAt = this.unknownOrderTime(previous);
     if (startedAt < settledAt + handoverDelayMilliseconds) return false;
-    return (
-      previous === undefined || (previous.holder === hostId && previous.active)
-    );
+    if (previous.version === 0) return true;
+    if (!isOfOwnEra(previous)) return false;
+    const {holder, active} = previous.content;
+    return holder === hostId && active;
   }
 
   /** Latest time at which a previous holder can have sent an order. */
-  latestOrderTime(
-    previous: LeaseContent | undefined,
-    startedAt: number,
-    unchangedSince: number,
-  ): number {
+  latestOrderTime(previous: ObservedRow, startedAt: number): number {
     const unknownOrderAt = this.unknownOrderTime(previous);
     const resignation = this.lastResignation;
-    if (resignation !== undefined && resignation.epoch === this.epoch)
+    if (resignation?.epoch === this.epoch && this.hasResigned(previous))
       return Math.max(resignation.lastOrderAt, unknownOrderAt);
-    if (previous === undefined) return unknownOrderAt;
-    if (previous.released) return Math.max(startedAt, unknownOrderAt);
+    if (previous.version === 0) return unknownOrderAt;
+    if (isOfOwnEra(previous) && previous.content.released)
+      return Math.max(startedAt, unknownOrderAt);
     // The previous holder may send orders for the validity period after its
     // last renewal, which happened no later than the first sight of the row
     // version.
-    return Math.max(unchangedSince + VALIDITY_MILLISECONDS, unknownOrderAt);
+    const validUntil = previous.unchangedSince + VALIDITY_MILLISECONDS;
+    return Math.max(validUntil, unknownOrderAt);
   }
 
   /**
@@ -122,9 +128,9 @@
    * when it came back. Such a holder loses its lease with its next renewal, or by the
    * end of its validity. A row of the current era was written after that.
    */
-  private unknownOrderTime(previous: LeaseContent | undefined): number {
+  private unknownOrderTime(previous: ObservedRow): number {
     const {storeEra} = this.options;
-    const isCurrent = previous?.era === storeEra.current;
+    const isCurrent = previous.content?.era === storeEra.current;
     const restoredAt = isCurrent ? storeEra.changedAt : storeEra.since;
     return restoredAt + VALIDITY_MILLISECONDS;
   }
--- a/src/engines/pool_lease.ts
+++ b/src/engines/pool_lease.ts
@@ -331,7 +331,7 @@
 
   private async acquire(row: WatchedRow): Promise<void> {
     const {clock, logger, handoverDelayMilliseconds} = this.options;
-    const {content: previous, version, era, unchangedSince} = row;
+    const {content: previous, version, era} = row;
     const startedAt = clock.monotonicMilliseconds();
     const startedWallTime = clock.now().getTime();
     const epochOfRow = nextEpoch(row);
@@ -346,7 +346,7 @@
     }
     this.history.recordEpoch(previous?.epoch ?? 0);
     const epoch = Math.max(epochOfRow, this.history.highestEpoch + 1);
-    const isOwnTerm = this.history.isOwnTerm(previous, startedAt);
+    const isOwnTerm = this.history.isOwnTerm(row, startedAt);
     const outcome = await this.row.write({
       epoch,
       expectedVersion: version,
@@ -358,11 +358,7 @@
       await sleep(clock, LOST_RACE_PAUSE_MILLISECONDS, this.stopping.signal);
       return;
     }
-    const previousOrderAt = this.history.latestOrderTime(
-      previous,
-      startedAt,
-      unchangedSince,
-    );
+    const previousOrderAt = this.history.latestOrderTime(row, startedAt);
     this.history.recordEpoch(epoch);
     this.held = {
       term: {epoch, era, replacedVersion: version},
--- a/src/testing/lease_fleet.ts
+++ b/src/testing/lease_fleet.ts
@@ -1,4 +1,4 @@
-import {PoolLease} from '../engines/mod.ts';
+import {PoolLease, type PoolLeaseOptions} from '../engines/mod.ts';
 import {failure} from '../errors/mod.ts';
 import {SILENT_LOGGER} from '../observability/mod.ts';
 import {type RowChange, type RowStore, StoreEra} from '../stores/mod.ts';
@@ -37,6 +37,8 @@
   readonly cut = new Set<string>();
   /** Hosts that do not compete. */
   readonly idle = new Set<string>();
+  /** Hosts that exchange no messages with other hosts. */
+  readonly separated = new Set<string>();
   /** Hosts whose transactions get no answer and are carried out late. */
   readonly delayed = new Set<string>();
   /** First and last order of each term of a host, oldest first. */
@@ -45,13 +47,20 @@
   private readonly lateChanges: (readonly RowChange[])[] = [];
   private starts = 0;
 
-  constructor(readonly hosts: readonly string[]) {}
+  constructor(
+    readonly hosts: readonly string[],
+    private readonly options: Pick<
+      PoolLeaseOptions,
+      'ordersBySettledEngine'
+    > = {},
+  ) {}
 
   /** Starts a process, which knows nothing of earlier ones. */
   start(hostId: string): void {
     const {clock} = this;
     const process: HostProcess = {
       lease: new PoolLease({
+        ...this.options,
         store: this.storeOf(hostId, () => process.isAlive),
         storeEra: new StoreEra(),
         clock,
@@ -183,9 +192,11 @@
   }
 
   private othersOf(hostId: string): readonly HostProcess[] {
-    if (this.cut.has(hostId)) return [];
+    const isReached = (id: string) =>
+      !this.cut.has(id) && !this.separated.has(id);
+    if (!isReached(hostId)) return [];
     return [...this.processes]
-      .filter(([other]) => other !== hostId && !this.cut.has(other))
+      .filter(([other]) => other !== hostId && isReached(other))
       .map(([, process]) => process);
   }
 
