Refuse answers of the store whose era can't be read

What callers would see: after an answer whose Store-Era isn't a number, a host took no later era for newer, so it noticed no restored store any more and could keep rows, versions and epochs of the era before.

Cause: the header was converted with Number, and NaN is neither above nor below any era (StoreEra.observe).

Change: an answer with an era that isn't a non-negative safe integer is malformed, like one that isn't JSON; a transaction counts as one that may have happened. A store without the header has one era, 0, as before; a case of fencing_token_test.ts shows that epochs go on rising if it stops naming its era.

Evidence: store_client_test.ts, 5 of 8 new cases fail before; all pass now. The case of the missing era passed before as well.

--- a/src/engines/fencing_token_test.ts
+++ b/src/engines/fencing_token_test.ts
@@ -134,6 +134,20 @@
       await restartAll(fleet, ['host-c']);
     },
   },
+  {
+    name: 'a handover, and then stops naming its era',
+    disrupt: async fleet => {
+      const copy = fleet.store.copy();
+      await handOver(fleet);
+      fleet.close();
+      await restore(fleet, copy);
+      await restartAll(fleet, ['host-c']);
+      await fleet.runUntil(() => fleet.holder === 'host-c', 10_000);
+      await fleet.run(1000);
+      fleet.store.era = 0;
+      await restartAll(fleet, ['host-b', 'host-a']);
+    },
+  },
 ];
 
 let fleet: LeaseFleet;
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -154,7 +154,7 @@
       const page = decodePage(response.value);
       if (page !== undefined) return success({status, page});
       // A transaction was executed even if its response cannot be parsed.
-      return fail('malformed', `${method} ${path}: not JSON`, true);
+      return fail('malformed', `${method} ${path}: invalid answer`, true);
     }
     const reason = `${method} ${path}: status ${status}`;
     if (status === STATUS_HISTORY_GONE)
@@ -169,7 +169,10 @@
   readonly timeoutMilliseconds?: number;
 }
 
-/** Header that rises each time the store comes back from an older copy. */
+/**
+ * Header that rises each time the store comes back from an older copy. Stores without
+ * it have one era, 0.
+ */
 const ERA_HEADER = 'store-era';
 
 const STATUS_CONFLICT = 412;
@@ -185,7 +188,7 @@
 }
 
 /**
- * Decodes a page of rows. `schema_version` is the version of the store or of a
+ * Decodes a page of rows; undefined if it is invalid. `schema_version` is the version of the store or of a
  * row, not of a schema.
  */
 function decodePage(response: HttpResponse): DecodedPage | undefined {
@@ -196,10 +199,13 @@
     return undefined;
   }
   if (!isWireObject(page)) return undefined;
+  const era = Number(response.headers[ERA_HEADER] ?? 0);
+  // Versions of an unknown era can't be compared with any other.
+  if (!Number.isSafeInteger(era) || era < 0) return undefined;
   return {
     rows: objectsOf(page['rows']).map(decodeRow),
     version: numberOf(page['schema_version']),
-    era: Number(response.headers[ERA_HEADER] ?? 0),
+    era,
     storeMilliseconds: numberOf(page['now_ms']),
     hasMore: page['has_more'] === true,
   };
--- a/src/platform/store_client_test.ts
+++ b/src/platform/store_client_test.ts
@@ -51,14 +51,7 @@
         }),
       );
     });
-    await new Promise<void>(resolve =>
-      server?.listen(0, '127.0.0.1', () => resolve()),
-    );
-    const {port} = server.address() as AddressInfo;
-    const client = new StoreClient({
-      address: `127.0.0.1:${port}`,
-      timeoutMilliseconds: 2000,
-    });
+    const client = await connect(server);
     const read = await client.readTable('servers');
     expect(read.ok && read.value).toMatchObject({
       rows: pages.flatMap(({keys}) => keys.map(key => ({key}))),
@@ -66,3 +59,35 @@
     });
   },
 );
+
+// Guards against versions and epochs of an era that is not a number: it is neither
+// above nor below any other, so that nothing is ever taken for restored.
+test.each([
+  {header: undefined, era: 0},
+  {header: '0', era: 0},
+  {header: '7', era: 7},
+  {header: 'seven', era: undefined},
+  {header: '-1', era: undefined},
+  {header: '1.5', era: undefined},
+  {header: '1, 2', era: undefined},
+  {header: '9007199254740993', era: undefined},
+])('an answer with the era $header is read as $era', async ({header, era}) => {
+  server = createServer((_request, response) => {
+    if (header !== undefined) response.setHeader('Store-Era', header);
+    response.end('{"rows":[],"schema_version":3,"now_ms":5}');
+  });
+  const client = await connect(server);
+  const read = await client.readTable('servers');
+  expect(read.ok ? read.value.era : read.error.kind).toBe(era ?? 'malformed');
+});
+
+async function connect(listening: Server): Promise<StoreClient> {
+  await new Promise<void>(resolve =>
+    listening.listen(0, '127.0.0.1', () => resolve()),
+  );
+  const {port} = listening.address() as AddressInfo;
+  return new StoreClient({
+    address: `127.0.0.1:${port}`,
+    timeoutMilliseconds: 2000,
+  });
+}
