Count the requests of each connection before a rejection is believed

Cause: a rejection without an id is believed as the first response on its connection. "First" was !reusedSocket, which Node.js sets only for a connection that was idle; a connection that a busy agent hands over to the next request looks new.

Change: the exchange counts the requests that it sends on each connection, and a response says how many came before it. A rejection without an id on a used connection leaves the outcome of an order unknown. answerDiscarded states the count. Control connections to engines use the agent that closes an idle connection when bytes arrive on it.

The relay's throughput was not measured.

--- a/src/entry/repeated_rejection_test.ts
+++ b/src/entry/repeated_rejection_test.ts
@@ -1,6 +1,7 @@
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import {EntryFleet, type FleetHost} from '../testing/entry_fleet.ts';
 import {send} from '../testing/platform_caller.ts';
+import {platformConfiguration} from '../testing/platform_deployment.ts';
 
 let fleet: EntryFleet;
 
@@ -30,6 +31,25 @@
   expect(second.status).toBe(502);
 });
 
+// Guards against an order that runs and is said not to have run, or runs twice: a
+// connection that a busy agent hands over is used, though it was never idle.
+test('a rejection without an id on a connection that was handed over promises nothing', async () => {
+  fleet.store.put('op', 'config', platformConfiguration({connectionLimit: 2}));
+  const endpoint = await fleet.startEndpoint({id: 'plain-1', service: 'plain'});
+  const host = await startHost();
+  endpoint.trouble = 'repeats_unnamed_rejection';
+  const paths = ['/order/1', '/order/2', '/order/3', '/order/4'];
+  const answers = await Promise.all(
+    paths.map(path => send(host.callerPort, {path})),
+  );
+  const ran = endpoint.ran.map(({path}) => path);
+  expect(new Set(ran).size).toBe(ran.length);
+  const promised = paths.filter((_, index) => answers[index]?.status === 503);
+  expect(promised).toHaveLength(1);
+  expect(ran).not.toContain(promised[0]);
+  expect(answers.map(({status}) => status)).toContain(502);
+});
+
 // An engine that rejects a request gets it again, with the same id. Its earlier
 // rejection must not be taken for the answer to the second dispatch, which runs.
 test('a request goes to the same engine again on another connection', async () => {
--- a/src/exchange/send_to_endpoint.ts
+++ b/src/exchange/send_to_endpoint.ts
@@ -5,6 +5,7 @@
   request,
 } from 'node:http';
 import {isConnectFailureCode} from '../errors/mod.ts';
+import {ConnectionRecord} from './connection_record.ts';
 import {watchConnection} from './watch_connection.ts';
 
 /**
@@ -39,8 +40,8 @@
   readonly kind: 'answer';
   readonly status: number;
   readonly message: IncomingMessage;
-  /** Whether no other request was sent on its connection before. */
-  readonly isFirstOnConnection: boolean;
+  /** Number of requests that were sent on its connection before. */
+  readonly earlierRequests: number;
   /** Whether the body has a Content-Length or is chunked, so that its end is known. */
   readonly isFramed: boolean;
   /** Whether the connection has failed, see {@link watchConnection}. */
@@ -80,6 +81,7 @@
     }
     let connected = false;
     let timedOut = false;
+    let earlierRequests = 0;
     let clientRequest: ClientRequest;
     try {
       clientRequest = request({
@@ -123,6 +125,7 @@
     );
     options.signal.addEventListener('abort', abort, {once: true});
     clientRequest.once('socket', socket => {
+      earlierRequests = ConnectionRecord.of(socket).begin();
       const onConnect = () => {
         connected = true;
         clearTimeout(timer);
@@ -169,7 +172,7 @@
         kind: 'answer',
         status: message.statusCode ?? 0,
         message,
-        isFirstOnConnection: !clientRequest.reusedSocket,
+        earlierRequests,
         isFramed:
           message.headers['content-length'] !== undefined ||
           message.headers['transfer-encoding'] !== undefined,
--- a/src/platform/engine_client.ts
+++ b/src/platform/engine_client.ts
@@ -1,4 +1,3 @@
-import {Agent} from 'node:http';
 import type {EndpointRecord} from '../deployment/mod.ts';
 import type {
   EngineControl,
@@ -8,16 +7,25 @@
   OrderOutcome,
 } from '../engines/mod.ts';
 import {failure, type Result, success} from '../errors/mod.ts';
-import {callHttp} from '../exchange/mod.ts';
+import {callHttp, EndpointAgent} from '../exchange/mod.ts';
 import {isWireObject, numberOf, stringsOf} from './_wire_value.ts';
 import {decodeHeldModels} from './decode_endpoint.ts';
 
 /** Time-out for control calls; engines acknowledge orders immediately. */
 const CONTROL_TIMEOUT_MILLISECONDS = 800;
 
+/** Maximum number of control connections from this host to an engine. */
+const MAXIMUM_CONNECTIONS = 2;
+
+/** Idle time after which a control connection is closed, if the engine names no other. */
+const IDLE_TIMEOUT_MILLISECONDS = 60_000;
+
 /** HTTP client for the control interface of the platform's engines. */
 export class EngineClient implements EngineControl {
-  private readonly agent = new Agent({keepAlive: true, maxSockets: 2});
+  private readonly agent = new EndpointAgent({
+    maximumConnections: MAXIMUM_CONNECTIONS,
+    idleTimeoutMilliseconds: IDLE_TIMEOUT_MILLISECONDS,
+  });
 
   async order(
     engine: EndpointRecord,
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -254,8 +254,8 @@
     log.step = REQUEST_STEPS.relay;
     const notice = wireFormat.readNotice(message);
     const {requestId} = request.metadata;
-    const {isFirstOnConnection} = endpointResponse;
-    if (wireFormat.isNotRun(message, requestId, isFirstOnConnection)) {
+    const {earlierRequests} = endpointResponse;
+    if (wireFormat.isNotRun(message, requestId, earlierRequests === 0)) {
       endpoints.noteResponse(endpoint, {notice, sentAt, isSuccess: false});
       discardResponse(endpointResponse);
       endpoint.condition.recordAnswer(false);
@@ -270,7 +270,7 @@
     const mismatch = findMismatch(wireFormat, message, requestId);
     if (mismatch !== undefined) {
       endpointResponse.abort();
-      log.answerDiscarded(mismatch, status);
+      log.answerDiscarded(mismatch, endpointResponse);
       this.recordBrokenEndpoint(endpoint);
       return {kind: 'broken', reason: `response discarded: ${mismatch}`};
     }
--- a/src/relay/_request_log.ts
+++ b/src/relay/_request_log.ts
@@ -1,5 +1,6 @@
 import type {RequestError} from '../errors/mod.ts';
 import {REQUEST_STEPS, type RequestStep, RUN_STATES} from '../errors/mod.ts';
+import type {EndpointResponse} from '../exchange/mod.ts';
 import type {Endpoint} from '../fleet/mod.ts';
 import type {EventFields} from '../observability/mod.ts';
 import type {SlowReaderReason} from './_caller_writer.ts';
@@ -61,12 +62,17 @@
     });
   }
 
-  /** Logs a response that was not forwarded. */
-  answerDiscarded(reason: string, status: number): void {
+  /** Logs a response that was not forwarded and ended its connection. */
+  answerDiscarded(
+    reason: string,
+    answer: Pick<EndpointResponse, 'status' | 'earlierRequests'>,
+  ): void {
+    const {status, earlierRequests} = answer;
     this.options.logger.event('answerDiscarded', {
       ...this.fields(),
       reason,
       status,
+      earlierRequests,
     });
   }
 
