Take no discarded end of a response for its end

Cause: the host had paused the engine's response, which had arrived completely. At the deadline the exchange is aborted; Node.js discards what the paused response has not passed on and emits its end, and message.complete was true.

Change: EndpointResponse.isWhole is the one place that says whether a response is whole. It isn't after this host has ended the exchange. Streams and buffered responses ask it; control calls fail with the reason for which they were ended.

--- a/src/exchange/call_http.ts
+++ b/src/exchange/call_http.ts
@@ -78,10 +78,15 @@
       return;
     }
     const hasConnectionFailed = watchConnection(clientRequest);
+    let terminatedFor: string | undefined;
+    const terminate = (reason: string) => {
+      terminatedFor = reason;
+      clientRequest.destroy(new Error(reason));
+    };
     const timer = setTimeout(() => {
       // A reset also discards bytes that are still queued on an interrupted link.
       if (connected) clientRequest.socket?.resetAndDestroy();
-      clientRequest.destroy(new Error('timed out'));
+      terminate('timed out');
     }, options.timeoutMilliseconds);
     const fail = (error: Error & {code?: string}) => {
       clearTimeout(timer);
@@ -111,12 +116,15 @@
           return;
         }
         collector.clear();
-        clientRequest.destroy(
-          new Error(`response exceeds ${MAXIMUM_RESPONSE_BYTES} bytes`),
-        );
+        terminate(`response exceeds ${MAXIMUM_RESPONSE_BYTES} bytes`);
       });
       response.on('error', fail);
       response.on('end', () => {
+        // Node.js reports the end of a response whose rest it has discarded.
+        if (terminatedFor !== undefined) {
+          fail(new Error(terminatedFor));
+          return;
+        }
         if (hasConnectionFailed()) {
           fail(new Error('connection reset within the response'));
           return;
--- a/src/exchange/send_to_endpoint.ts
+++ b/src/exchange/send_to_endpoint.ts
@@ -44,8 +44,12 @@
   readonly earlierRequests: number;
   /** Whether the body has a Content-Length or is chunked, so that its end is known. */
   readonly isFramed: boolean;
-  /** Whether the connection has failed, see {@link watchConnection}. */
-  readonly hasConnectionFailed: () => boolean;
+  /**
+   * Whether the response is complete and all of its body has been read; to be asked at
+   * the end of the message. After {@link abort} and the like, Node.js discards what it
+   * has not passed on yet, and reports the end all the same.
+   */
+  readonly isWhole: () => boolean;
   /** Closes the connection. */
   readonly abort: () => void;
 }
@@ -81,6 +85,7 @@
     }
     let connected = false;
     let timedOut = false;
+    let isTerminated = false;
     let earlierRequests = 0;
     let clientRequest: ClientRequest;
     try {
@@ -100,6 +105,7 @@
     }
     const hasConnectionFailed = watchConnection(clientRequest);
     const terminate = (reason: string) => {
+      isTerminated = true;
       // A reset also discards bytes that are still queued on an interrupted
       // link, so that the request does not arrive after it was aborted.
       if (connected) clientRequest.socket?.resetAndDestroy();
@@ -176,7 +182,8 @@
         isFramed:
           message.headers['content-length'] !== undefined ||
           message.headers['transfer-encoding'] !== undefined,
-        hasConnectionFailed,
+        isWhole: () =>
+          message.complete && !isTerminated && !hasConnectionFailed(),
         abort: () => terminate('the answer is not wanted'),
       });
     });
--- a/src/exchange/watch_connection_test.ts
+++ b/src/exchange/watch_connection_test.ts
@@ -53,7 +53,7 @@
     if (sent.kind !== 'answer') return false;
     sent.message.on('error', () => undefined).resume();
     await new Promise(resolve => sent.message.once('close', resolve));
-    return sent.message.complete && !sent.hasConnectionFailed();
+    return sent.isWhole();
   },
   controlCall: async () => {
     const result = await callHttp({
--- a/src/relay/_buffer_response.ts
+++ b/src/relay/_buffer_response.ts
@@ -37,11 +37,7 @@
       else giveUp('no_memory');
     });
     message.once('end', () =>
-      resolve(
-        message.complete && !response.hasConnectionFailed()
-          ? collector.take()
-          : 'broken',
-      ),
+      resolve(response.isWhole() ? collector.take() : 'broken'),
     );
     message.once('error', () => resolve('broken'));
     message.once('close', () => resolve('broken'));
--- a/src/relay/_stream_response.ts
+++ b/src/relay/_stream_response.ts
@@ -58,9 +58,7 @@
     });
     message.once('end', () => {
       const complete =
-        message.complete &&
-        !endpointResponse.hasConnectionFailed() &&
-        splitter.pendingBytes === 0;
+        endpointResponse.isWhole() && splitter.pendingBytes === 0;
       if (complete) stream.writeHead(endpointResponse);
       finish(complete ? 'complete' : 'broken');
     });
