Remove the row of a host only under the version that it means

What callers would see: a host that runs is in no list of hosts, so that no look-up names it and its peers don't connect to it, after a restart while the store was slow.

Cause: a host that stops removed its row without a condition. The store may carry out a call without an answer seconds later; by then the next process of the host has written the row.

Change: the removal names the version of the row that this process has written. If the row has another version, it is removed only if it is still of this process (one call more).

--- a/src/entry/host_registration.ts
+++ b/src/entry/host_registration.ts
@@ -1,6 +1,11 @@
-import {encodeHostRow, type HostRow} from '../fleet/mod.ts';
+import {decodeHostRow, encodeHostRow, type HostRow} from '../fleet/mod.ts';
 import type {EventLogger} from '../observability/mod.ts';
-import type {RowStore, StoreClock, StoreEra} from '../stores/mod.ts';
+import type {
+  CommitOutcome,
+  RowStore,
+  StoreClock,
+  StoreEra,
+} from '../stores/mod.ts';
 import {type Clock, sleep} from '../time/mod.ts';
 
 /** Table in which hosts discover each other. */
@@ -25,6 +30,8 @@
   private readonly abortController = new AbortController();
 
   private hasRegistered = false;
+  /** Version of the row that this process has written; 0 if it does not know. */
+  private version = 0;
 
   constructor(private readonly options: HostRegistrationOptions) {
     // The store may have lost the row, or brought an older one back.
@@ -44,25 +51,46 @@
     }
   }
 
-  /** Removes the row; does not retry, because the process is about to exit. */
+  /**
+   * Removes the row; does not retry, because the process is about to exit. A removal
+   * that the store carries out late must not take away the row of the next process, so
+   * it names the version of the row.
+   */
   async deregister(): Promise<void> {
     this.abortController.abort();
-    await this.write(undefined);
+    const outcome = await this.commit(undefined, this.version);
+    if (outcome?.kind !== 'conflict') return;
+    const {hostId, incarnation} = this.options.row();
+    const stored = outcome.rows.find(({key}) => key === hostId);
+    const isOwn =
+      stored?.value !== undefined &&
+      decodeHostRow(stored.value)?.incarnation === incarnation;
+    if (isOwn) await this.commit(undefined, stored.version);
   }
 
-  private async write(value: Buffer | undefined): Promise<boolean> {
+  private async write(value: Buffer): Promise<boolean> {
+    const outcome = await this.commit(value, undefined);
+    if (outcome?.kind === 'committed') this.version = outcome.version;
+    return outcome !== undefined;
+  }
+
+  /** @returns undefined if the store gave no answer. */
+  private async commit(
+    value: Buffer | undefined,
+    expectedVersion: number | undefined,
+  ): Promise<CommitOutcome | undefined> {
     const {store, clock, storeClock, storeEra, logger, row} = this.options;
     const startedAt = clock.monotonicMilliseconds();
     const outcome = await store.commit([
-      {table: HOST_TABLE, key: row().hostId, value, expectedVersion: undefined},
+      {table: HOST_TABLE, key: row().hostId, value, expectedVersion},
     ]);
-    if (outcome.ok) {
-      storeEra.observe(outcome.value.era, clock.monotonicMilliseconds());
-      if (outcome.value.kind === 'committed')
-        storeClock.recordCall({startedAt, ...outcome.value});
-      return true;
+    if (!outcome.ok) {
+      logger.event('hostRowWriteFailed', {...outcome.error});
+      return undefined;
     }
-    logger.event('hostRowWriteFailed', {...outcome.error});
-    return false;
+    storeEra.observe(outcome.value.era, clock.monotonicMilliseconds());
+    if (outcome.value.kind === 'committed')
+      storeClock.recordCall({startedAt, ...outcome.value});
+    return outcome.value;
   }
 }
