Send no request to an endpoint that asked for none during its wait

What callers would see: a request that waits for its permit is sent to an endpoint that has answered 503 with Retry-After meanwhile, which rejects it (BUDGET).

Cause: roomAt asked whether the endpoint takes requests only before the wait for a permit.

Change: it asks after the wait as well, and the waits for an endpoint end as soon as it asks for no requests, so that another one is chosen at once.

Also: cold_endpoint_test.ts failed in 2 of 4 runs at a load of 21 to 24 on 8 cores ("expected 111 to be less than or equal to 26"). Trace, on with the sleep doubled: sampling took 4,871 ms, and the arrivals rise from 1 to 3 a sample at 2.96 s, which is the end of the cold phase of 3 s (108 in place of 26). The test counted what arrives after the phase, if the machine is slow. It counts real arrivals within the phase now, in any second, with the same bounds; the warm case asks for all requests in place of 60 a second. With sleeps of 45 ms it passes, with 40 requests a second it fails (41).

Evidence: _limited_endpoints_test.ts, the new case fails before and passes now.

--- a/src/engines/_limited_endpoints.ts
+++ b/src/engines/_limited_endpoints.ts
@@ -48,11 +48,9 @@
 
   constructor(private readonly options: LimitedEndpointsOptions) {
     const {registry} = options;
-    registry.onChange(() => {
-      for (const [wait, {record}] of this.waits) {
-        if (registry.isEvacuated(record)) wait.abort();
-      }
-    });
+    registry.onChange(() =>
+      this.endWaits(({record}) => registry.isEvacuated(record)),
+    );
   }
 
   /** Whether an endpoint names a limit. */
@@ -117,6 +115,7 @@
     if (notice.closedMilliseconds !== undefined) {
       const now = clock.monotonicMilliseconds();
       condition.recordClosed(now + notice.closedMilliseconds);
+      this.endWaits(waiting => waiting === endpoint);
     }
     limits.observe({
       incarnation,
@@ -164,6 +163,9 @@
       // The endpoint may have begun to leave or been evacuated meanwhile.
       if (!registry.usable(request.service.name).includes(endpoint)) return now;
       if (isCold && signal.aborted) return now;
+      // It may have asked for no requests meanwhile.
+      const closedAgain = this.closedUntil(endpoint);
+      if (closedAgain !== undefined) return closedAgain;
       if (this.isValid(permit.at, incarnation, isCold)) return undefined;
     }
   }
@@ -184,7 +186,13 @@
     );
   }
 
-  /** Ends early once the endpoint is evacuated, so that another one is chosen. */
+  /** Ends the waits for permits of some endpoints, so that others are chosen. */
+  private endWaits(isMet: (endpoint: Endpoint) => boolean): void {
+    for (const [wait, endpoint] of this.waits)
+      if (isMet(endpoint)) wait.abort();
+  }
+
+  /** Ends early once the endpoint is evacuated or asks for no requests. */
   private async waitForPermit(
     endpoint: Endpoint,
     milliseconds: number,
--- a/src/engines/_limited_endpoints_test.ts
+++ b/src/engines/_limited_endpoints_test.ts
@@ -46,3 +46,18 @@
   await fleet.clock.advanceAsync(1000);
   expect(fleet.sentAt).toEqual([0]);
 });
+
+// Guards against BUDGET violations: requests that waited for their permits were sent to
+// an endpoint that had asked for no requests meanwhile.
+test('a request that waits for a permit is not sent to an endpoint that asks for none', async () => {
+  const fleet = startFleet();
+  fleet.objectiveMilliseconds = 5000;
+  fleet.write(1, 0);
+  fleet.limitsOf(0)?.receive(fleet.incarnation, 1);
+  const requests = Array.from({length: 4}, () => fleet.request(0, false));
+  await fleet.clock.advanceAsync(500);
+  fleet.close(0, 4000);
+  await fleet.clock.advanceAsync(10);
+  await Promise.all(requests);
+  expect(fleet.sentAt).toEqual([0]);
+});
--- a/src/entry/cold_endpoint_test.ts
+++ b/src/entry/cold_endpoint_test.ts
@@ -7,23 +7,29 @@
 
 afterEach(() => fleet.stop());
 
-const SAMPLE_MILLISECONDS = 20;
+/** Interval between two requests through one host. */
+const INTERVAL_MILLISECONDS = 20;
+
+const REQUESTS_PER_HOST = 120;
+
+/** Time from the endpoint's row on for which it is cold. */
+const COLD_MILLISECONDS = 3000;
 
 const CASES = [
   {
     name: 'gets no more than its limit in any second',
-    terms: {cold_start_s: 3, cold_per_s: 14},
-    expected: {minimum: 10, maximum: 26},
+    terms: {cold_start_s: COLD_MILLISECONDS / 1000, cold_per_s: 14},
+    inOneSecond: {minimum: 10, maximum: 26},
   },
   {
     name: 'of a service without a cold phase gets all requests',
     terms: {},
-    expected: {minimum: 60, maximum: 200},
+    inOneSecond: undefined,
   },
 ];
 
 // Guards the wiring: the row, the settings and the permits of two hosts.
-test.each(CASES)('a cold endpoint $name', async ({terms, expected}) => {
+test.each(CASES)('a cold endpoint $name', async ({terms, inOneSecond}) => {
   const configuration = platformConfiguration();
   const services = configuration.services.map(service =>
     service.name === 'plain' ? {...service, ...terms} : service,
@@ -35,27 +41,34 @@
     await fleet.startHost('host-2', {isFirstStart: false}),
   ];
   await fleet.waitForLines('host-1', 'peerConnected', 1);
-  endpoint.coldMilliseconds = 3000;
+  endpoint.coldMilliseconds = COLD_MILLISECONDS;
+  const registeredAt = performance.now();
   endpoint.register();
   if ('cold_start_s' in terms) {
     await fleet.waitForLines('host-1', 'endpointCold', 1);
     await fleet.waitForLines('host-2', 'endpointCold', 1);
   }
-  const counts: number[] = [];
   const answers: Promise<unknown>[] = [];
-  for (let sample = 0; sample < 2400 / SAMPLE_MILLISECONDS; sample++) {
+  for (let request = 0; request < REQUESTS_PER_HOST; request++) {
     for (const {callerPort} of hosts)
       answers.push(send(callerPort, {path: '/look/x'}));
-    await new Promise(resolve => setTimeout(resolve, SAMPLE_MILLISECONDS));
-    counts.push(endpoint.arrivals.length);
+    await new Promise(resolve => setTimeout(resolve, INTERVAL_MILLISECONDS));
+  }
+  await Promise.all(answers);
+  if (inOneSecond === undefined) {
+    expect(endpoint.arrivals.length).toBe(answers.length);
+    return;
   }
+  // On a busy machine, the last requests are sent after the end of the cold phase.
+  const arrivals = endpoint.arrivals.filter(
+    at => at - registeredAt < COLD_MILLISECONDS,
+  );
   const most = Math.max(
-    ...counts.map((count, index) => {
-      const before = index - 1000 / SAMPLE_MILLISECONDS;
-      return count - (counts[before] ?? 0);
-    }),
+    ...arrivals.map(
+      (first, index) =>
+        arrivals.slice(index).filter(at => at - first < 1000).length,
+    ),
   );
-  expect(most).toBeGreaterThanOrEqual(expected.minimum);
-  expect(most).toBeLessThanOrEqual(expected.maximum);
-  await Promise.all(answers);
+  expect(most).toBeGreaterThanOrEqual(inOneSecond.minimum);
+  expect(most).toBeLessThanOrEqual(inOneSecond.maximum);
 });
--- a/src/testing/cold_fleet.ts
+++ b/src/testing/cold_fleet.ts
@@ -97,6 +97,23 @@
     return this.hosts[host]?.limits;
   }
 
+  /** Gives a host a rejection in which the engine asks for no requests for a time. */
+  close(index: number, milliseconds: number): void {
+    const host = this.hosts[index];
+    const endpoint = host?.registry.find(ENGINE);
+    if (host === undefined || endpoint === undefined) return;
+    host.limited.observe(endpoint, {
+      notice: {
+        coldMilliseconds: undefined,
+        requestsPerSecond: undefined,
+        isLeaving: false,
+        closedMilliseconds: milliseconds,
+      },
+      sentAt: this.clock.monotonicMilliseconds(),
+      isSuccess: false,
+    });
+  }
+
   /**
    * Writes the engine's row.
    *
