Count the delay of a handover from the answer of the last order

What callers would see: orders of two hosts to one engine less than lease_ms apart (ONE), if the former holder's last order reached the engine late.

Cause: a holder that resigns tells the time since it has sent its last order. The order may arrive until it is answered or abandoned.

Change: the time counts from the answer or the time-out, at which the connection is reset.

Evidence: pool_lease_test.ts, the new case fails before (2,400 ms after the answer, bound 3,000) and passes now. Not covered: the last order of a holder that is killed; the next one counts from the end of its validity.

--- a/src/engines/_issued_orders.ts
+++ b/src/engines/_issued_orders.ts
@@ -14,9 +14,10 @@
     this.lastOrderAt = this.clock.monotonicMilliseconds();
   }
 
-  /** Records that an order was answered or abandoned. */
+  /** Records that an order was answered or abandoned; it may have arrived until now. */
   end(): void {
     this.inFlight--;
+    this.lastOrderAt = this.clock.monotonicMilliseconds();
   }
 
   /**
--- a/src/engines/pool_lease_test.ts
+++ b/src/engines/pool_lease_test.ts
@@ -232,6 +232,26 @@
     },
   );
 
+  // Guards against orders of two hosts within less than the handover delay (the
+  // property ONE): the last order of the first one reached the engine late.
+  test('the handover delay begins when the last order has been answered', async () => {
+    const fixture = createFixture();
+    fixture.deliversResignations = true;
+    const first = start(fixture, 'host-1', 'a');
+    start(fixture, 'host-2', 'b');
+    await fixture.clock.advanceAsync(1000);
+    first.beginOrder();
+    await fixture.clock.advanceAsync(600);
+    first.endOrder();
+    const answeredAt = fixture.clock.monotonicMilliseconds();
+    await first.release();
+    const acting = await observe(fixture, 8000);
+    const firstOfSecond = acting.find(({holder}) => holder === 1)?.at;
+    expect((firstOfSecond ?? 0) - answeredAt).toBeGreaterThanOrEqual(
+      HANDOVER_DELAY_MILLISECONDS,
+    );
+  });
+
   // On the recorded day of Kaplama, no orders were sent for 5.7 s after the
   // holder stalled, because its successor started observing the row only then.
   test('a successor that received the last renewal skips observing the row', async () => {
