--- a/src/testing/platform_endpoint_stand_in.ts
+++ b/src/testing/platform_endpoint_stand_in.ts
@@ -103,6 +103,8 @@
     holder: string;
     fencing_token: number;
   }[] = [];
+  /** Orders as they arrived, with the monotonic time in milliseconds. */
+  readonly orderArrivals: {holder: string; token: number; at: number}[] = [];
   /** Connections on which a request was rejected, to be rejected once more. */
   private readonly rejectedOn = new WeakSet<Socket>();
   private hasRejected = false;
@@ -417,6 +419,11 @@
       holder: string;
       fencing_token: number;
     };
+    this.orderArrivals.push({
+      holder: order.holder,
+      token: order.fencing_token,
+      at: performance.now(),
+    });
     if (
       this.busy ||
       (order.if_revision !== undefined && order.if_revision !== this.accepted)
