Count each process of an endpoint once in the soak

The soak itself did not end, since one of the two new processes was never stopped. All processes are kept once by their name now, and a fault of an endpoint that is down is left out.

--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -84,7 +84,7 @@
   private readonly random: SeededRandom;
   private readonly hosts: SoakHost[] = [];
   private readonly endpoints: SoakEndpoint[] = [];
-  private readonly stopped: PlatformEndpointStandIn[] = [];
+  /** All processes of endpoints that were started, and their names. */
   private readonly names = new Map<PlatformEndpointStandIn, string>();
   private readonly requests: SentRequest[] = [];
   private readonly disruptions: Disruption[] = [];
@@ -117,7 +117,7 @@
     this.isEnding = true;
     for (const {process} of this.hosts) process?.signal('SIGCONT');
     for (const {process} of this.hosts) await process?.kill();
-    for (const {current} of this.endpoints) await current.stop();
+    for (const endpoint of this.names.keys()) await endpoint.stop();
     await this.store.stop();
   }
 
@@ -389,14 +389,14 @@
     forMilliseconds,
   }: Extract<PlannedFault, {subject: 'endpoint'}>): Promise<void> {
     const endpoint = this.endpoints[index];
-    if (endpoint === undefined) return;
+    // Another fault may have ended the process; it is started again then.
+    if (endpoint === undefined || endpoint.current.hasEnded) return;
     const disruption = this.begin(kind, endpoint.id);
     if (kind === 'restart') {
       const former = endpoint.current;
       await former.stop();
       await sleep(forMilliseconds);
       endpoint.starts++;
-      this.stopped.push(former);
       endpoint.current = await this.startEndpoint(endpoint);
     } else {
       const {current} = endpoint;
@@ -425,10 +425,7 @@
   }
 
   private result(): SoakResult {
-    const endpoints = [
-      ...this.stopped,
-      ...this.endpoints.map(({current}) => current),
-    ];
+    const endpoints = [...this.names.keys()];
     const runs = new Map<string, number>();
     for (const {headers} of endpoints.flatMap(({ran}) => ran)) {
       const id = String(headers['request-id']);
