Log how long callers still wait when their requests are sent

The metric limpetdale_patience_at_dispatch_seconds counts how long callers still wait at each dispatch. No logic is changed.

Measured: src/relay and caller_leaves_test pass (74 tests).

--- a/src/entry/_bind_requests.ts
+++ b/src/entry/_bind_requests.ts
@@ -15,7 +15,7 @@
   UnobservedRequests,
 } from '../fleet/mod.ts';
 import {FleetRateLimiter} from '../limits/mod.ts';
-import {Metrics} from '../observability/mod.ts';
+import {EventLoopMonitor, Metrics} from '../observability/mod.ts';
 import type {PeerIdentity} from '../peers/mod.ts';
 import {EndpointLimits, PermitBroker} from '../permits/mod.ts';
 import {
@@ -187,6 +187,7 @@
         promptParts: container.get(PromptPartQuarantine),
         isDraining: () => container.get(EntryState).isDraining,
         runDurations,
+        eventLoopDelay: () => container.get(EventLoopMonitor).delayMilliseconds,
         dispatchWindow: container.get(DispatchWindow),
         random: Math.random,
       }),
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -11,6 +11,7 @@
 import {bufferResponse} from './_buffer_response.ts';
 import {CallerWriter} from './_caller_writer.ts';
 import {dispatchError} from './_dispatch_error.ts';
+import {dispatchTimes} from './_dispatch_times.ts';
 import {EventSplitter} from './_event_splitter.ts';
 import {failureCode} from './_failure_code.ts';
 import {findMismatch} from './_find_mismatch.ts';
@@ -171,11 +172,16 @@
     endpoint: Endpoint,
     run: PromptPartRun,
   ): Promise<AttemptOutcome> {
-    const target = targetOf(this.context.request.metadata);
+    const {request} = this.context;
+    const {clock, dispatchWindow} = this.options;
+    const target = targetOf(request.metadata);
     this.dispatchCount++;
-    this.sentAt = this.options.clock.monotonicMilliseconds();
+    this.sentAt = clock.monotonicMilliseconds();
     this.hasBegun = false;
-    this.context.log.recordDispatch(endpoint);
+    this.context.log.recordDispatch(
+      endpoint,
+      dispatchTimes(request, this.sentAt, dispatchWindow),
+    );
     endpoint.begin(target);
     try {
       const outcome = await this.sendAndHandleResponse(endpoint, run);
--- a/src/relay/_request_log.ts
+++ b/src/relay/_request_log.ts
@@ -4,6 +4,7 @@
 import type {Endpoint} from '../fleet/mod.ts';
 import type {EventFields} from '../observability/mod.ts';
 import type {SlowReaderReason} from './_caller_writer.ts';
+import type {DispatchTimes} from './_dispatch_times.ts';
 import type {RequestRelayOptions} from './relay_options.ts';
 import type {RequestMetadata} from './request_metadata.ts';
 
@@ -18,6 +19,12 @@
   readonly remainingMilliseconds: number;
 }
 
+/** Upper bounds of the buckets of {@link PATIENCE_METRIC}, in seconds. */
+const PATIENCE_BUCKETS = [0, 0.1, 0.25, 0.5, 1, 2, 5, 10] as const;
+
+/** Histogram of the time for which callers still wait when a request is sent. */
+const PATIENCE_METRIC = 'limpetdale_patience_at_dispatch_seconds';
+
 /** Collects the log fields of one request and writes its events and metrics. */
 export class RequestLog {
   route = '';
@@ -33,22 +40,29 @@
   /** Step that the request has reached. */
   step: RequestStep = REQUEST_STEPS.parse;
   private endpoint: Endpoint | undefined;
+  private dispatchTimes: DispatchTimes | undefined;
   private isEnded = false;
 
   constructor(
     private readonly options: Pick<
       RequestRelayOptions,
-      'clock' | 'logger' | 'metrics'
+      'clock' | 'eventLoopDelay' | 'logger' | 'metrics'
     >,
     private readonly metadata: RequestMetadata,
     private readonly arrivedAt: number,
   ) {}
 
   /** Records that the request is sent to an endpoint. */
-  recordDispatch(endpoint: Endpoint): void {
+  recordDispatch(endpoint: Endpoint, times: DispatchTimes): void {
     this.attempts++;
     this.step = REQUEST_STEPS.dispatch;
     this.endpoint = endpoint;
+    this.dispatchTimes = times;
+    this.options.metrics.recordValue(
+      PATIENCE_METRIC,
+      times.patienceMilliseconds / 1000,
+      PATIENCE_BUCKETS,
+    );
   }
 
   /** Logs an attempt that yielded no response for the caller. */
@@ -102,11 +116,25 @@
     });
   }
 
-  /** Logs the end of a request whose caller disconnected. */
-  callerLeft(): void {
+  /**
+   * Logs the end of a request whose caller disconnected.
+   *
+   * @param leftAt Monotonic time at which this host noticed it.
+   */
+  callerLeft(leftAt: number): void {
     if (this.isEnded) return;
+    const {step} = this;
     this.end('caller_left');
-    this.options.logger.event('callerLeft', this.fields());
+    const {clock, eventLoopDelay, logger} = this.options;
+    logger.event('callerLeft', {
+      ...this.fields(),
+      step,
+      atDispatch: this.dispatchTimes,
+      endedAfterMilliseconds: Math.round(
+        clock.monotonicMilliseconds() - leftAt,
+      ),
+      eventLoopDelayMilliseconds: Math.round(eventLoopDelay()),
+    });
   }
 
   /** Logs that a response is broken off because its caller does not read it. */
--- a/src/relay/relay_options.ts
+++ b/src/relay/relay_options.ts
@@ -60,6 +60,8 @@
   /** Until when requests are sent to endpoints. */
   dispatchWindow: DispatchWindow;
   runDurations: RunDurations;
+  /** Recent delay of the event loop of this host, in milliseconds. */
+  eventLoopDelay: () => number;
   /** Returns a number in [0, 1). */
   random: () => number;
 }
--- a/src/relay/request_relay.ts
+++ b/src/relay/request_relay.ts
@@ -76,6 +76,7 @@
     this.openRequests.add(log);
     let isHandled = false;
     let isClosed = false;
+    let leftAt = Number.POSITIVE_INFINITY;
     const reservations: ByteReservation[] = [];
     const callerAbort = new AbortController();
     const end = () => {
@@ -85,7 +86,9 @@
     response.once('close', () => {
       isClosed = true;
       if (isHandled) end();
-      if (!response.writableFinished) callerAbort.abort();
+      if (response.writableFinished) return;
+      leftAt = this.options.clock.monotonicMilliseconds();
+      callerAbort.abort();
     });
     try {
       const error = await this.serve(request, response, {
@@ -108,7 +111,7 @@
       });
       breakOff(response);
     } finally {
-      if (callerAbort.signal.aborted) log.callerLeft();
+      if (callerAbort.signal.aborted) log.callerLeft(leftAt);
       isHandled = true;
       if (isClosed) end();
     }
