Send no stream whose first event its caller will not wait for

Cause: a host measured what is left of a request by its deadline. A caller of a stream leaves much sooner if nothing comes, after the longest of 2 s, 4 times the objective and 8 times the pause. The wait for a model or for room ended at a fixed 0.92 of that, whatever engines need for a first event. Class of fault: a time limit of the sender's own in place of the receiver's.

Hosts now also remember how long first events take, by route and service, and send a stream only while half of the first events come before its caller's patience ends; before that the caller gets 503 with Retry-After. The same limit ends the wait for a model, for room and for a permit, since all of them ask the dispatch window. What has begun keeps its right to be resumed.

--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -366,7 +366,7 @@
     const {dispatchWindow} = this.options;
     const {callerTimeoutMilliseconds} = request.route;
     return Math.min(
-      dispatchWindow.deadlineLimit(request),
+      dispatchWindow.callerLimit(request),
       request.arrivedAt + callerTimeoutMilliseconds * MAXIMUM_WAIT_SHARE,
       dispatchWindow.hostLimit(request),
     );
--- a/src/entry/_bind_requests.ts
+++ b/src/entry/_bind_requests.ts
@@ -53,10 +53,14 @@
 ): void {
   const {clock, logger, platform, settings} = context;
   const runDurations = new RunDurations(clock);
+  const firstEventDurations = new RunDurations(clock);
   const shares = () => container.get(FleetShares);
-  container
-    .bind(DispatchWindow)
-    .toConstantValue(new DispatchWindow(runDurations));
+  container.bind(DispatchWindow).toConstantValue(
+    new DispatchWindow({
+      runs: runDurations,
+      firstEvents: firstEventDurations,
+    }),
+  );
   container.bind(ReplicaMap).toDynamicValue(
     () =>
       new ReplicaMap({
@@ -187,6 +191,7 @@
         promptParts: container.get(PromptPartQuarantine),
         isDraining: () => container.get(EntryState).isDraining,
         runDurations,
+        firstEventDurations,
         eventLoopDelay: () => container.get(EventLoopMonitor).delayMilliseconds,
         dispatchWindow: container.get(DispatchWindow),
         random: Math.random,
--- a/src/entry/explain_decisions_test.ts
+++ b/src/entry/explain_decisions_test.ts
@@ -52,7 +52,10 @@
   return {
     announced,
     clock,
-    dispatchWindow: new DispatchWindow(new RunDurations(clock)),
+    dispatchWindow: new DispatchWindow({
+      runs: new RunDurations(clock),
+      firstEvents: new RunDurations(clock),
+    }),
     promptParts,
     rateLimiter,
     routes: (): RouteIndex | undefined => routes,
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -22,6 +22,11 @@
   mayRunAgain,
   NOT_EXECUTED_STATUSES,
 } from './_retry_rules.ts';
+import {
+  recordFirstEventDuration,
+  recordRunDuration,
+} from './_record_durations.ts';
+import {type RequestEnd, watchRequestEnd} from './_request_end.ts';
 import {sendAttempt} from './_send_attempt.ts';
 import {streamResponse} from './_stream_response.ts';
 import {writeResponseHead} from './_write_response_head.ts';
@@ -35,7 +40,7 @@
   /** Incarnations of endpoints that have got the request. */
   private readonly sentTo = new Set<string>();
   private readonly splitter = new EventSplitter();
-  private readonly abortController = new AbortController();
+  private readonly end: RequestEnd;
   private readonly writer: CallerWriter;
   /** Whether the current attempt has delivered an event or a whole response. */
   private hasBegun = false;
@@ -49,40 +54,31 @@
     private readonly context: AttemptContext,
   ) {
     this.writer = new CallerWriter(options, context);
+    this.end = watchRequestEnd(context, options.clock);
   }
 
   /** @returns The error to respond with; undefined when nothing is left to send. */
   async run(): Promise<RequestError | undefined> {
-    const {callerLeft, fingerprint, hostStops, request, response} =
-      this.context;
-    if (!this.options.crashGuard.allows(fingerprint)) {
-      return dispatchError(
-        REQUEST_ERROR_CODES.quarantined,
-        'The request has crashed several endpoints',
-        true,
-      );
-    }
-    const abort = () => this.abortController.abort();
-    const abortUnanswered = () => {
-      if (!response.headersSent) abort();
-    };
-    callerLeft.addEventListener('abort', abort, {once: true});
-    hostStops.addEventListener('abort', abortUnanswered, {once: true});
-    const cancelTimer = this.options.clock.startTimer(this.remaining(), abort);
+    const {fingerprint, request} = this.context;
     try {
+      if (!this.options.crashGuard.allows(fingerprint)) {
+        return dispatchError(
+          REQUEST_ERROR_CODES.quarantined,
+          'The request has crashed several endpoints',
+          true,
+        );
+      }
       this.options.retryBudget.recordRequest(request.service.name);
       return await this.attemptUntilDone();
     } finally {
-      cancelTimer();
-      callerLeft.removeEventListener('abort', abort);
-      hostStops.removeEventListener('abort', abortUnanswered);
+      this.end.dispose();
     }
   }
 
   private async attemptUntilDone(): Promise<RequestError | undefined> {
     const {request, callerLeft, log} = this.context;
     const {clock, endpoints, promptParts} = this.options;
-    const {signal} = this.abortController;
+    const {signal} = this.end;
     let holdUntil = this.holdUntil();
     for (;;) {
       log.step = REQUEST_STEPS.place;
@@ -161,7 +157,7 @@
 
   private mayRetry(kind: 'not_run' | 'broken'): boolean {
     const {route, service} = this.context.request;
-    if (this.abortController.signal.aborted) return false;
+    if (this.end.signal.aborted) return false;
     if (this.remaining() <= 0 || this.dispatchCount >= MAXIMUM_DISPATCHES)
       return false;
     if (kind === 'broken' && !mayRunAgain(route, this.runCount)) return false;
@@ -192,7 +188,7 @@
         await run.recordBroken();
       }
       if (outcome.kind === 'delivered') {
-        this.recordDuration();
+        recordRunDuration(this.options, this.context, this.sentAt);
       } else {
         if (outcome.kind === 'broken') this.runCount++;
         this.context.log.attemptFailed({
@@ -218,7 +214,7 @@
       lastEventId: this.splitter.lastEventId,
       usesNewConnection: this.sentTo.has(endpoint.incarnation),
       runCount: this.runCount,
-      signal: this.abortController.signal,
+      signal: this.end.signal,
     });
     switch (sent.kind) {
       case 'unsent':
@@ -371,21 +367,14 @@
     return {kind: 'broken', reason: 'stream broke off', isDisconnected: true};
   }
 
-  /** Records how long a run took; runs that failed tell nothing of others. */
-  private recordDuration(): void {
-    const {clock, runDurations} = this.options;
-    if (this.context.response.statusCode >= 300) return;
-    const took = clock.monotonicMilliseconds() - this.sentAt;
-    runDurations.record(this.context.request, took);
-  }
-
   private recordBegun(run: PromptPartRun): void {
     this.hasBegun = true;
     run.recordBegun();
+    recordFirstEventDuration(this.options, this.context, this.sentAt);
   }
 
   private get isAborted(): boolean {
-    return this.abortController.signal.aborted;
+    return this.end.signal.aborted;
   }
 
   private recordBrokenEndpoint(endpoint: Endpoint): void {
--- a/src/relay/dispatch_window.ts
+++ b/src/relay/dispatch_window.ts
@@ -1,5 +1,17 @@
+import type {RoutedRequest} from './endpoint_source.ts';
 import type {RunDurations, RunOrigin} from './run_durations.ts';
 
+/** A request with the times that limit it. */
+type TimedRequest = RunOrigin & Pick<RoutedRequest, 'arrivedAt' | 'deadlineAt'>;
+
+/** Options of {@link DispatchWindow}. */
+export interface DispatchWindowOptions {
+  /** Durations of whole runs. */
+  runs: Pick<RunDurations, 'longest' | 'shortest' | 'typical'>;
+  /** Durations from the dispatch of a stream to its first event. */
+  firstEvents: Pick<RunDurations, 'typical'>;
+}
+
 /** Times at which a stopping host ends its work. */
 export interface DispatchWindowEnd {
   /** Monotonic time from which no request is sent to an endpoint. */
@@ -10,7 +22,8 @@
 
 /**
  * Until when requests are sent to endpoints: as long as a run can be expected to end
- * before its caller's deadline and before the host stops.
+ * before its caller's deadline and before the host stops, and a stream to begin before
+ * its caller disconnects.
  */
 export class DispatchWindow {
   private end: DispatchWindowEnd = {
@@ -18,7 +31,7 @@
     runsEndAt: Number.POSITIVE_INFINITY,
   };
 
-  constructor(private readonly durations: RunDurations) {}
+  constructor(private readonly options: DispatchWindowOptions) {}
 
   /** Closes the window, because the host stops. */
   close(end: DispatchWindowEnd): void {
@@ -31,16 +44,25 @@
    */
   hostLimit(request: RunOrigin): number {
     const {closesAt, runsEndAt} = this.end;
-    return Math.min(closesAt, runsEndAt - this.durations.longest(request));
+    return Math.min(closesAt, runsEndAt - this.options.runs.longest(request));
   }
 
   /** Milliseconds that a run is expected to take; 0 if that is not known. */
   expected(request: RunOrigin): number {
-    return this.durations.typical(request);
+    return this.options.runs.typical(request);
   }
 
-  /** Monotonic time from which no endpoint can finish a request by its deadline. */
-  deadlineLimit(request: RunOrigin & {readonly deadlineAt: number}): number {
-    return request.deadlineAt - this.durations.shortest(request);
+  /**
+   * Monotonic time from which a request is not sent any more: no endpoint can finish it
+   * by its deadline, or its caller will probably have left before its first event.
+   */
+  callerLimit(request: TimedRequest): number {
+    const {runs, firstEvents} = this.options;
+    const {arrivedAt, deadlineAt, route} = request;
+    const patienceEndsAt = arrivedAt + route.callerTimeoutMilliseconds;
+    return Math.min(
+      deadlineAt - runs.shortest(request),
+      patienceEndsAt - firstEvents.typical(request),
+    );
   }
 }
--- a/src/relay/find_too_late.ts
+++ b/src/relay/find_too_late.ts
@@ -25,11 +25,11 @@
   const now = clock.monotonicMilliseconds();
   if (now >= dispatchWindow.hostLimit(request))
     return drainingError(REQUEST_STEPS.dispatch);
-  if (now < dispatchWindow.deadlineLimit(request)) return undefined;
+  if (now < dispatchWindow.callerLimit(request)) return undefined;
   return {
     ...dispatchError(
       REQUEST_ERROR_CODES.overloaded,
-      'No endpoint can finish the request before its deadline',
+      'No endpoint can respond before the caller stops waiting',
       true,
     ),
     retryAfterMilliseconds: TOO_LATE_RETRY_MILLISECONDS,
--- a/src/relay/relay_options.ts
+++ b/src/relay/relay_options.ts
@@ -60,6 +60,8 @@
   /** Until when requests are sent to endpoints. */
   dispatchWindow: DispatchWindow;
   runDurations: RunDurations;
+  /** Durations from the dispatch of a stream to its first event. */
+  firstEventDurations: Pick<RunDurations, 'record'>;
   /** Recent delay of the event loop of this host, in milliseconds. */
   eventLoopDelay: () => number;
   /** Returns a number in [0, 1). */
--- a/src/testing/admission_fleet.ts
+++ b/src/testing/admission_fleet.ts
@@ -224,7 +224,10 @@
       announce: () => undefined,
     });
     const durations = new RunDurations(clock);
-    const window = new DispatchWindow(durations);
+    const window = new DispatchWindow({
+      runs: durations,
+      firstEvents: new RunDurations(clock),
+    });
     const evenShare = () => 1 / hosts;
     const host: Host = {
       registry,
--- a/src/testing/routed_requests.ts
+++ b/src/testing/routed_requests.ts
@@ -125,7 +125,10 @@
       random: () => 0,
     }),
     coldEngines: {presume: () => undefined, rateOf: () => undefined},
-    dispatchWindow: new DispatchWindow(new RunDurations(clock)),
+    dispatchWindow: new DispatchWindow({
+      runs: new RunDurations(clock),
+      firstEvents: new RunDurations(clock),
+    }),
     clock,
     dataCentre: 'zone-a',
     announceLeaving: () => undefined,
