Give hosts callers in proportion to their processors

What callers saw: on grown deployments the small active hosts were late for hundreds of milliseconds.

Cause: a look-up named all active hosts to each caller, and callers use all addresses alike. An active host with 0.324 of a core thus got as many callers as one with 1.35 cores. Class of fault: even shares of unequal parts. Roles are given by capacity (choose_active_hosts), callers were not.

Each caller now gets the hosts that a hash of its address and theirs chooses: a host with a fraction of the largest processor is given to that fraction of the callers, and three hosts at least. The choice is the same on all hosts and stays as long as the hosts, since callers give up connections to hosts that a later answer lacks. Fleets of hosts of one size answer as before.

--- a/src/entry/entry_listeners.ts
+++ b/src/entry/entry_listeners.ts
@@ -5,7 +5,7 @@
   type ServerResponse,
 } from 'node:http';
 import type {CallerLimits} from '../deployment/mod.ts';
-import type {FleetTopology} from '../fleet/mod.ts';
+import {type FleetTopology, hostsForCaller} from '../fleet/mod.ts';
 import {closeGracefully, trackConnections} from '../http/mod.ts';
 import {listenWhenFree} from '../listeners/mod.ts';
 import type {EventLogger, Metrics} from '../observability/mod.ts';
@@ -198,7 +198,11 @@
       response.writeHead(404, {'Content-Length': 0}).end();
       return;
     }
-    const addresses = topology.callerHosts().map(host => host.callerAddress);
+    const hosts = hostsForCaller(
+      topology.callerHosts(),
+      request.socket.remoteAddress ?? '',
+    );
+    const addresses = hosts.map(host => host.callerAddress);
     if (addresses.length === 0) {
       response.writeHead(503, {'Content-Length': 0}).end();
       return;
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -46,6 +46,7 @@
   REPLACEMENT_MILLISECONDS,
 } from './fleet_topology.ts';
 export {FleetShares, type FleetSharesOptions} from './fleet_shares.ts';
+export {hostsForCaller} from './hosts_for_caller.ts';
 export {HostRegistry, type HostRegistryOptions} from './host_registry.ts';
 export {FleetLoad, type FleetLoadOptions} from './fleet_load.ts';
 export {arrivalKey, waitingKey, type WaitingTarget} from './host_demand.ts';
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -34,6 +34,7 @@
   type MembershipReconcilerOptions,
 } from './membership_reconciler.ts';
 export {rendezvousOrder} from './rendezvous_order.ts';
+export {rendezvousWeight} from './rendezvous_weight.ts';
 export {
   StoppedMemberDetector,
   type StoppedMemberDetectorOptions,
--- a/src/testing/entry_fleet.ts
+++ b/src/testing/entry_fleet.ts
@@ -15,6 +15,7 @@
   readonly host: EntryHost;
   readonly callerPort: number;
   readonly readinessPort: number;
+  readonly directoryPort: number;
 }
 
 /** Entry hosts, endpoints and a store on loopback, for tests. */
@@ -71,7 +72,12 @@
     this.hosts.push(host);
     await this.waitForLines(hostId, 'endpointFound', this.endpoints.length);
     await this.waitForLines(hostId, 'configurationApplied', 1);
-    return {host, callerPort: callers!, readinessPort: readiness!};
+    return {
+      host,
+      callerPort: callers!,
+      readinessPort: readiness!,
+      directoryPort: directory!,
+    };
   }
 
   /** Waits until a host has written an event a number of times. */
