--- a/src/testing/entry_fleet.ts
+++ b/src/testing/entry_fleet.ts
@@ -45,6 +45,13 @@
     return endpoint;
   }
 
+  /** Takes an endpoint away, as its row and its process end. */
+  async removeEndpoint(endpoint: PlatformEndpointStandIn): Promise<void> {
+    this.endpoints.splice(this.endpoints.indexOf(endpoint), 1);
+    this.store.drop('servers', endpoint.id);
+    await endpoint.stop();
+  }
+
   /** Starts a host and waits until it knows the endpoints and a configuration. */
   async startHost(
     hostId: string,
--- a/src/testing/platform_endpoint_stand_in.ts
+++ b/src/testing/platform_endpoint_stand_in.ts
@@ -60,6 +60,8 @@
   id: string;
   service: string;
   dataCentre?: string;
+  /** Version of its software. @default v1 */
+  softwareVersion?: string;
   /** Models in the accelerator at the start; the endpoint is an engine then. */
   models?: readonly string[];
   /** Milliseconds until a load has ended. @default 20 */
@@ -141,6 +143,11 @@
     return endpoint;
   }
 
+  /** Id of the endpoint. */
+  get id(): string {
+    return this.options.id;
+  }
+
   /** IP number and port. */
   get address(): string {
     return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
@@ -163,12 +170,12 @@
 
   /** Writes the endpoint's row. */
   register(state: 'ready' | 'draining' = 'ready'): void {
-    const {id, service, dataCentre} = this.options;
+    const {id, service, dataCentre, softwareVersion} = this.options;
     this.store.put('servers', id, {
       service,
       address: this.address,
       zone: dataCentre ?? 'zone-a',
-      version: 'v1',
+      version: softwareVersion ?? 'v1',
       slots: 4,
       state,
       cold_remaining_ms: this.coldMilliseconds,
