Let streams go on only at the software version that began them

Cause: the version in an endpoint's row was dropped, Resumes was not read, and any engine with the model got a stream that had broken off. Class of fault: state that belongs to one process is taken to belong to its role.

Why this holds: in one answer, the version of the endpoint that brought the first event is known, and later attempts are limited to it. Over tries, src/streams knows. While all endpoints of a service have one version, a host states that in its page of the store once and records no single stream. When it sees a second version it writes all its living streams into the page, and each new one before its first event is forwarded; the write runs beside the attempt. A stream that is taken up is looked for in the memory of the host, then in the pages of all hosts; if it is in none, it goes on only if all pages, also those of dead hosts, state the same single version. So evidence survives the loss of all hosts, and a page that could not be written leaves doubt, which refuses. Keys are hashes of team and request id, so another team's name proves nothing. A stream whose version has no endpoint left, or whose model only other versions hold, is refused or broken off at once. With the store away a host knows its own streams and refuses others with Retry-After; first events wait 250 ms at most.

--- a/src/deployment/endpoint_record.ts
+++ b/src/deployment/endpoint_record.ts
@@ -11,6 +11,8 @@
   /** Version of the row that the record was read from. */
   readonly rowVersion: number;
   readonly service: string;
+  /** Version of the endpoint's software; empty if its row states none. */
+  readonly softwareVersion: string;
   /** IP address and port. */
   readonly address: string;
   readonly dataCentre: string;
--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -33,6 +33,7 @@
   serviceEvacuated,
 } from './_refusal.ts';
 import {lateRefusal} from './_late_refusal.ts';
+import {mayRun, refuseWithoutVersion} from './_required_version.ts';
 import {WaitingRequests} from './_waiting_requests.ts';
 import type {
   EndpointRouterOptions,
@@ -112,10 +113,13 @@
               request,
               signal,
               // It may wait beyond the time at which one of them has room again.
-              isAllowed: ({incarnation}) => {
-                const at = returnAt.get(incarnation);
+              isAllowed: endpoint => {
+                const at = returnAt.get(endpoint.incarnation);
                 const {clock} = this.options;
-                return at === undefined || at <= clock.monotonicMilliseconds();
+                return (
+                  mayRun(request, endpoint) &&
+                  (at === undefined || at <= clock.monotonicMilliseconds())
+                );
               },
               choose: (endpoints, drawn) =>
                 this.chooseDrawn(endpoints, drawn, request, preference),
@@ -123,8 +127,9 @@
       if (outcome?.kind === 'refused')
         return this.refuseWaiting(request, outcome);
       if (outcome?.kind === 'aborted') return notInTime(target);
-      const open = this.candidates(service.name, target, isModelRequest).filter(
-        isOpen,
+      const all = this.candidates(service.name, target, isModelRequest);
+      const open = all.filter(
+        endpoint => isOpen(endpoint) && mayRun(request, endpoint),
       );
       const chosen =
         outcome?.kind === 'admitted'
@@ -149,8 +154,15 @@
         else returnAt.set(chosen.incarnation, roomAt);
         continue;
       }
-      if (this.options.registry.isServiceEvacuated(service.name))
+      const {registry} = this.options;
+      if (registry.isServiceEvacuated(service.name))
         return serviceEvacuated(service.name);
+      const versionGone = refuseWithoutVersion(request, {
+        usable: registry.usable(service.name),
+        holders: all,
+        excluded,
+      });
+      if (versionGone !== undefined) return versionGone;
       const roomAt = Math.min(...returnAt.values());
       if (!isModelRequest) {
         const now = this.options.clock.monotonicMilliseconds();
--- a/src/engines/engine_state_test.ts
+++ b/src/engines/engine_state_test.ts
@@ -5,6 +5,7 @@
 const RECORD: EndpointRecord = {
   id: 'engine-1',
   rowVersion: 1,
+  softwareVersion: 'v1',
   service: 'engines',
   address: '127.0.0.1:1',
   dataCentre: 'zone-a',
--- a/src/entry/_bind_requests.ts
+++ b/src/entry/_bind_requests.ts
@@ -27,6 +27,7 @@
   RequestRelay,
   RunDurations,
 } from '../relay/mod.ts';
+import {StreamOrigins} from '../streams/mod.ts';
 import {ConfigurationSource} from './configuration_source.ts';
 import type {EntryContext} from './entry_container.ts';
 import {EntryListeners} from './entry_listeners.ts';
@@ -192,6 +193,7 @@
         isDraining: () => container.get(EntryState).isDraining,
         runDurations,
         firstEventDurations,
+        streamOrigins: container.get(StreamOrigins),
         eventLoopDelay: () => container.get(EventLoopMonitor).delayMilliseconds,
         dispatchWindow: container.get(DispatchWindow),
         random: Math.random,
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -21,6 +21,7 @@
 import type {Clock} from '../time/mod.ts';
 import {bindPermits} from './_bind_permits.ts';
 import {bindRequests} from './_bind_requests.ts';
+import {bindStreams} from './_bind_streams.ts';
 import {ConfigurationSource} from './configuration_source.ts';
 import {createIdentity, hostRow} from './_host_identity.ts';
 import {EntryListeners} from './entry_listeners.ts';
@@ -61,6 +62,7 @@
     .toConstantValue(new EventLoopMonitor({...context, metrics}));
   bindFleet(container, context, self);
   bindPermits(container, context, self);
+  bindStreams(container, context, self);
   bindRequests(container, context, self);
   bindStore(container, context, self);
   return container;
--- a/src/entry/explain_request.ts
+++ b/src/entry/explain_request.ts
@@ -279,6 +279,7 @@
     promptParts: parts.length === 0 ? [] : [...parts, SESSION_PART],
     deadlineMilliseconds: query.deadlineMilliseconds,
     lastEventId: undefined,
+    resumes: undefined,
   };
 }
 
--- a/src/entry/store_followers.ts
+++ b/src/entry/store_followers.ts
@@ -315,6 +315,7 @@
       ? REMOVED_ENDPOINT
       : JSON.stringify([
           record.service,
+          record.softwareVersion,
           record.address,
           record.dataCentre,
           record.state,
--- a/src/errors/request_error.ts
+++ b/src/errors/request_error.ts
@@ -19,6 +19,7 @@
   outcomeUnknown: 'outcome_unknown',
   quarantined: 'request_quarantined',
   endpointFailed: 'endpoint_failed',
+  originUnknown: 'stream_origin_unknown',
   overloaded: 'overloaded',
   draining: 'host_draining',
   cancelled: 'request_cancelled',
--- a/src/fleet/endpoint_registry.ts
+++ b/src/fleet/endpoint_registry.ts
@@ -50,6 +50,15 @@
     );
   }
 
+  /** Software versions of the known processes of a service, including leaving ones. */
+  versionsOf(service: string): ReadonlySet<string> {
+    const versions = new Set<string>();
+    for (const {record} of this.endpoints.values()) {
+      if (record.service === service) versions.add(record.softwareVersion);
+    }
+    return versions;
+  }
+
   /** Whether a process is known to leave, so that it gets no new requests. */
   isLeaving({incarnation}: Pick<Endpoint, 'incarnation'>): boolean {
     return this.leaving.has(incarnation);
--- a/src/fleet/endpoint_registry_test.ts
+++ b/src/fleet/endpoint_registry_test.ts
@@ -8,6 +8,7 @@
   return {
     id: 'e1',
     rowVersion: 1,
+    softwareVersion: 'v1',
     service: 'plain',
     address: '127.0.0.1:1',
     dataCentre: 'zone-a',
--- a/src/fleet/evacuated_data_centres_test.ts
+++ b/src/fleet/evacuated_data_centres_test.ts
@@ -7,6 +7,7 @@
 function record(id: string, dataCentre: string): EndpointRecord {
   return {
     ...{id, dataCentre, rowVersion: 1, service: 'plain', slots: 1},
+    softwareVersion: 'v1',
     ...{address: '127.0.0.1:1', state: 'ready', startedAt: 1},
     ...{
       leavesInMilliseconds: undefined,
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -368,6 +368,22 @@
     level: 'warn',
     message: 'Connection to an endpoint received no data in time; closing it',
   },
+  streamOriginUnrecorded: {
+    number: 760,
+    level: 'warn',
+    message:
+      'A stream begins although the store does not know its software version',
+  },
+  streamPageWriteFailed: {
+    number: 761,
+    level: 'warn',
+    message: 'Software versions of streams could not be written to the store',
+  },
+  streamOriginsDropped: {
+    number: 762,
+    level: 'warn',
+    message: 'Too many streams to record the software version of each',
+  },
   requestServed: {
     number: 730,
     level: 'info',
--- a/src/platform/decode_endpoint.ts
+++ b/src/platform/decode_endpoint.ts
@@ -42,6 +42,7 @@
     id,
     rowVersion,
     service,
+    softwareVersion: versionOf(value['version']),
     address,
     dataCentre: stringOf(value['zone']),
     slots,
@@ -57,6 +58,11 @@
   };
 }
 
+/** Version of software: a name or a number. */
+function versionOf(value: unknown): string {
+  return typeof value === 'number' ? String(value) : stringOf(value);
+}
+
 /** Whether a value is a number that counts something exactly. */
 function isCount(value: unknown): value is number {
   return Number.isSafeInteger(value) && Number(value) >= 0;
--- a/src/platform/decode_test.ts
+++ b/src/platform/decode_test.ts
@@ -8,6 +8,7 @@
 
 const ROW = {
   service: 'engines',
+  version: 'r7',
   address: '10.0.0.1:80',
   zone: 'zone-a',
   slots: 4,
@@ -54,6 +55,7 @@
       id: 'e',
       rowVersion: 7,
       service: 'engines',
+      softwareVersion: 'r7',
       address: '10.0.0.1:80',
       dataCentre: 'zone-a',
       slots: 4,
--- a/src/platform/platform_wire_format.ts
+++ b/src/platform/platform_wire_format.ts
@@ -26,6 +26,8 @@
   tokens: 'Token-Usage',
   promptParts: 'Prompt-Prefix',
   lastEventId: 'Last-Event-Id',
+  /** Attempt that brought the first event of the stream that is taken up. */
+  resumes: 'Resumes',
   /** Shows that a response was written by the endpoint itself. */
   signature: 'Server-Signature',
   team: 'Tenant',
@@ -151,6 +153,7 @@
     deadlineMilliseconds:
       Number.isFinite(deadline) && deadline > 0 ? deadline : undefined,
     lastEventId: value(HEADERS.lastEventId),
+    resumes: value(HEADERS.resumes),
   };
 }
 
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -27,6 +27,7 @@
   recordRunDuration,
 } from './_record_durations.ts';
 import {type RequestEnd, watchRequestEnd} from './_request_end.ts';
+import {OriginGuard} from './_origin_guard.ts';
 import {sendAttempt} from './_send_attempt.ts';
 import {streamResponse} from './_stream_response.ts';
 import {writeResponseHead} from './_write_response_head.ts';
@@ -41,6 +42,7 @@
   private readonly sentTo = new Set<string>();
   private readonly splitter = new EventSplitter();
   private readonly end: RequestEnd;
+  private readonly origin: OriginGuard;
   private readonly writer: CallerWriter;
   /** Whether the current attempt has delivered an event or a whole response. */
   private hasBegun = false;
@@ -55,6 +57,7 @@
   ) {
     this.writer = new CallerWriter(options, context);
     this.end = watchRequestEnd(context, options.clock);
+    this.origin = new OriginGuard(options, context.request);
   }
 
   /** @returns The error to respond with; undefined when nothing is left to send. */
@@ -69,7 +72,7 @@
         );
       }
       this.options.retryBudget.recordRequest(request.service.name);
-      return await this.attemptUntilDone();
+      return (await this.origin.find()) ?? (await this.attemptUntilDone());
     } finally {
       this.end.dispose();
     }
@@ -87,7 +90,7 @@
       if (callerLeft.aborted) return undefined;
       if (turn.kind === 'refused') return this.refuse(turn.error);
       const acquired = await endpoints.acquire(
-        request,
+        this.origin.limit(request),
         this.excluded,
         signal,
         turn.kind === 'trial' ? 'least_loaded' : 'affinity',
@@ -174,6 +177,7 @@
     this.dispatchCount++;
     this.sentAt = clock.monotonicMilliseconds();
     this.hasBegun = false;
+    this.origin.begin(endpoint);
     this.context.log.recordDispatch(
       endpoint,
       dispatchTimes(request, this.sentAt, dispatchWindow),
@@ -351,6 +355,7 @@
       },
       onFirstEvent: () => this.recordBegun(run),
       forwardsWholeEvents: request.route.resumable,
+      mayForward: this.origin.mayForward,
     });
     if (outcome === 'complete') {
       // Without framing, a crash before the first event looks like an empty stream.
@@ -369,6 +374,7 @@
 
   private recordBegun(run: PromptPartRun): void {
     this.hasBegun = true;
+    this.origin.recordDelivered();
     run.recordBegun();
     recordFirstEventDuration(this.options, this.context, this.sentAt);
   }
--- a/src/relay/_stream_response.ts
+++ b/src/relay/_stream_response.ts
@@ -12,6 +12,8 @@
   readonly onFirstEvent: () => void;
   /** Whether only complete events are forwarded, so that the stream can be resumed. */
   readonly forwardsWholeEvents: boolean;
+  /** Settles when events may be forwarded; undefined if they may at once. */
+  readonly mayForward: Promise<void> | undefined;
 }
 
 /**
@@ -34,12 +36,31 @@
   const {message} = endpointResponse;
   const {writer, splitter, forwardsWholeEvents} = stream;
   let hasBegun = false;
+  let isHeld = stream.mayForward !== undefined;
+  const held: Buffer[] = [];
   return new Promise(resolve => {
-    const finish = (outcome: StreamOutcome) => {
+    let outcome: StreamOutcome | undefined;
+    const finish = (ended: StreamOutcome) => {
+      outcome ??= ended;
+      // The splitter counts what is held as delivered.
+      if (isHeld) return;
       writer.attach(undefined);
       resolve(outcome);
     };
+    const forward = (bytes: Buffer) => {
+      stream.writeHead(endpointResponse);
+      if (!writer.write(bytes)) message.pause();
+    };
     writer.attach(() => message.resume());
+    void stream.mayForward?.then(() => {
+      isHeld = false;
+      for (const bytes of held.splice(0)) forward(bytes);
+      if (outcome === 'complete') stream.writeHead(endpointResponse);
+      const ended = outcome;
+      // A response that is cut off at once loses what was just written to it.
+      if (ended !== undefined) setImmediate(() => finish(ended));
+      else message.resume();
+    });
     message.on('data', (chunk: Buffer) => {
       const events = splitter.push(chunk);
       if (!hasBegun && events.length > 0) {
@@ -53,13 +74,17 @@
       }
       const bytes = forwardsWholeEvents ? events : chunk;
       if (bytes.length === 0) return;
-      stream.writeHead(endpointResponse);
-      if (!writer.write(bytes)) message.pause();
+      if (!isHeld) {
+        forward(bytes);
+        return;
+      }
+      held.push(bytes);
+      message.pause();
     });
     message.once('end', () => {
       const complete =
         endpointResponse.isWhole() && splitter.pendingBytes === 0;
-      if (complete) stream.writeHead(endpointResponse);
+      if (complete && !isHeld) stream.writeHead(endpointResponse);
       finish(complete ? 'complete' : 'broken');
     });
     message.once('error', () => finish('broken'));
--- a/src/relay/_stream_response_test.ts
+++ b/src/relay/_stream_response_test.ts
@@ -68,6 +68,7 @@
         end: 'after an event',
         isFramed,
         forwardsWholeEvents,
+        mayForward: undefined,
         body: WHOLE,
         outcome: 'complete',
       },
@@ -75,6 +76,7 @@
         end: 'inside an event',
         isFramed,
         forwardsWholeEvents,
+        mayForward: undefined,
         body: CUT,
         outcome: 'broken',
       },
@@ -105,6 +107,7 @@
             writeHead: () => undefined,
             onFirstEvent: () => undefined,
             forwardsWholeEvents,
+            mayForward: undefined,
           }).then(result => {
             response.end();
             resolve(result);
--- a/src/relay/endless_response_test.ts
+++ b/src/relay/endless_response_test.ts
@@ -149,6 +149,7 @@
             writeHead: () => undefined,
             onFirstEvent: () => undefined,
             forwardsWholeEvents,
+            mayForward: undefined,
           }).then(resolve);
         });
         caller.listen(0, '127.0.0.1', () => {
--- a/src/relay/endpoint_source.ts
+++ b/src/relay/endpoint_source.ts
@@ -16,6 +16,10 @@
   readonly deadlineAt: number;
   /** Arrival time, on the monotonic clock. */
   readonly arrivedAt: number;
+  /**
+   * Software version of the endpoints that may run it; undefined if all may.
+   */
+  readonly softwareVersion?: string;
 }
 
 /** Which of several suitable endpoints is chosen. */
--- a/src/relay/relay_options.ts
+++ b/src/relay/relay_options.ts
@@ -1,6 +1,7 @@
 import type {ByteBudget} from '../bytes/mod.ts';
 import type {RouteIndex, TeamConfiguration} from '../deployment/mod.ts';
 import type {EventLogger, Metrics} from '../observability/mod.ts';
+import type {StreamOrigins} from '../streams/mod.ts';
 import type {Clock} from '../time/mod.ts';
 import type {DispatchWindow} from './dispatch_window.ts';
 import type {RunDurations} from './run_durations.ts';
@@ -57,6 +58,8 @@
   promptParts: PromptPartGuard;
   /** Whether connections are closed after their response. */
   isDraining: () => boolean;
+  /** Software versions at which streams have begun. */
+  streamOrigins: Pick<StreamOrigins, 'begin' | 'find'>;
   /** Until when requests are sent to endpoints. */
   dispatchWindow: DispatchWindow;
   runDurations: RunDurations;
--- a/src/relay/request_metadata.ts
+++ b/src/relay/request_metadata.ts
@@ -23,4 +23,6 @@
   readonly deadlineMilliseconds: number | undefined;
   /** Id of the last event received, after which a broken stream resumes. */
   readonly lastEventId: string | undefined;
+  /** Request id of the attempt that brought the first event of a resumed stream. */
+  readonly resumes: string | undefined;
 }
--- /dev/null
+++ b/src/streams/_page_builder.ts
@@ -0,0 +1,119 @@
+import type {EventLogger} from '../observability/mod.ts';
+import type {StoreClock, StoreEra} from '../stores/mod.ts';
+import type {OriginMemory, RememberedStream} from './_origin_memory.ts';
+import type {OriginPage, ServiceMode} from './origin_page.ts';
+
+/** Options of {@link PageBuilder}. */
+export interface PageBuilderOptions {
+  storeClock: StoreClock;
+  storeEra: StoreEra;
+  logger: EventLogger;
+  memory: OriginMemory;
+  /** Process that writes the page. */
+  incarnation: string;
+  /** Software versions of the known endpoints of a service. */
+  versionsOf: (service: string) => ReadonlySet<string>;
+  /** Longest time for which a stream that begins now can be taken up. */
+  longestStreamMilliseconds: () => number;
+}
+
+/** Streams in one page; a row of the store has 64 KiB. */
+const MAXIMUM_RECORDED = 800;
+
+type FormerMode = OriginPage['former'][number];
+
+/** Builds the page of this host. */
+export class PageBuilder {
+  private readonly used = new Set<string>();
+  private former: readonly FormerMode[] = [];
+
+  constructor(private readonly options: PageBuilderOptions) {}
+
+  /** Services of which streams have begun here. */
+  get services(): readonly string[] {
+    return [...this.used];
+  }
+
+  /** Records that a stream of a service begins here. */
+  use(service: string): void {
+    this.used.add(service);
+  }
+
+  /** Versions at which streams may begin here, or may have in a former process. */
+  modeOf(service: string): ServiceMode {
+    const versions = new Set(this.options.versionsOf(service));
+    for (const former of this.former) {
+      if (former.service !== service) continue;
+      if (former.mode.kind === 'mixed') return {kind: 'mixed'};
+      versions.add(former.mode.version);
+    }
+    const [version] = versions;
+    return versions.size === 1 && version !== undefined
+      ? {kind: 'single', version}
+      : {kind: 'mixed'};
+  }
+
+  /**
+   * Keeps what the page of a former process says of streams that may still be alive.
+   *
+   * @param era Era of the store in which the page was read.
+   * @param now Time of the store's clock.
+   */
+  takeOver(page: OriginPage, era: number, now: number): void {
+    const {incarnation, memory, storeClock, longestStreamMilliseconds} =
+      this.options;
+    if (page.writer === incarnation) return;
+    for (const [key, version, until] of page.streams) {
+      const livesUntil = storeClock.toMonotonic(until);
+      if (memory.find(key) === undefined)
+        memory.add({key, service: undefined, livesUntil}, version);
+    }
+    const untilStoreMilliseconds = now + longestStreamMilliseconds();
+    const ended = Object.entries(page.modes).map(([service, mode]) => ({
+      service,
+      // What an older era has stated may have changed in rows that were lost.
+      mode: page.era === era ? mode : ({kind: 'mixed'} as const),
+      untilStoreMilliseconds,
+    }));
+    this.former = [...this.former, ...page.former, ...ended];
+  }
+
+  /** @param now Time of the store's clock. */
+  build(now: number): OriginPage {
+    this.former = this.former.filter(
+      ({untilStoreMilliseconds}) => untilStoreMilliseconds > now,
+    );
+    const modes = Object.fromEntries(
+      this.services.map(service => [service, this.modeOf(service)]),
+    );
+    const needed = this.options.memory
+      .living()
+      .filter(stream => isNeeded(stream, modes));
+    const recorded = needed.slice(-MAXIMUM_RECORDED);
+    if (recorded.length < needed.length) {
+      this.options.logger.event('streamOriginsDropped', {
+        streams: needed.length - recorded.length,
+      });
+    }
+    return {
+      writer: this.options.incarnation,
+      era: this.options.storeEra.current,
+      modes,
+      former: [...this.former],
+      streams: recorded.map(({key, version, livesUntil}) => [
+        key,
+        version,
+        Math.ceil(this.options.storeClock.toStore(livesUntil) ?? now),
+      ]),
+    };
+  }
+}
+
+/** Whether the mode of its service does not tell the version of a stream. */
+function isNeeded(
+  {service, version}: RememberedStream,
+  modes: Readonly<Record<string, ServiceMode>>,
+): boolean {
+  const mode = service === undefined ? undefined : modes[service];
+  return mode?.kind !== 'single' || mode.version !== version;
+}
--- /dev/null
+++ b/src/streams/origin_page.ts
@@ -0,0 +1,64 @@
+import {z} from 'zod';
+
+const version = z.string().max(200);
+
+/** Software versions at which the unrecorded streams of a host can have begun. */
+const serviceMode = z.discriminatedUnion('kind', [
+  /** All at this one. */
+  z.object({kind: z.literal('single'), version}),
+  /** Streams at any version are recorded one by one. */
+  z.object({kind: z.literal('mixed')}),
+]);
+
+/** Schema of {@link OriginPage}. */
+export const originPageSchema = z.object({
+  /** Process that has written the page. */
+  writer: z.string(),
+  /** Era of the store in which the page was written. */
+  era: z.number().int().nonnegative(),
+  /** By service. */
+  modes: z.record(z.string(), serviceMode),
+  /**
+   * Modes of former processes of the host whose streams may still be alive, up to a time
+   * of the store's clock.
+   */
+  former: z.array(
+    z.object({
+      service: z.string(),
+      mode: serviceMode,
+      untilStoreMilliseconds: z.number(),
+    }),
+  ),
+  /** Recorded streams: key, version, and the store's time up to which one may be alive. */
+  streams: z.array(z.tuple([z.string().max(64), version, z.number()])),
+});
+
+/** What is known of the unrecorded streams of one service on a host. */
+export type ServiceMode = z.infer<typeof serviceMode>;
+
+/** Row in which a host keeps at which software versions its streams have begun. */
+export type OriginPage = z.infer<typeof originPageSchema>;
+
+/** Encodes a page as JSON. */
+export function encodeOriginPage(page: OriginPage): Buffer {
+  return Buffer.from(JSON.stringify(page));
+}
+
+/** Decodes a page; undefined if it is invalid. */
+export function decodeOriginPage(value: Buffer): OriginPage | undefined {
+  let json: unknown;
+  try {
+    json = JSON.parse(value.toString());
+  } catch {
+    return undefined;
+  }
+  const parsed = originPageSchema.safeParse(json);
+  return parsed.success ? parsed.data : undefined;
+}
+
+/** Whether two modes state the same. */
+export function isSameMode(left: ServiceMode, right: ServiceMode): boolean {
+  if (left.kind === 'mixed' || right.kind === 'mixed')
+    return left.kind === right.kind;
+  return left.version === right.version;
+}
--- a/src/testing/admission_fleet.ts
+++ b/src/testing/admission_fleet.ts
@@ -309,6 +309,7 @@
   return {
     id: String(index),
     rowVersion: 1,
+    softwareVersion: 'v1',
     service: SERVICE,
     address: '127.0.0.1:1',
     dataCentre: 'zone-a',
@@ -354,6 +355,7 @@
       promptParts: [],
       deadlineMilliseconds: undefined,
       lastEventId: undefined,
+      resumes: undefined,
     },
     route,
     service,
--- a/src/testing/balancing_simulation.ts
+++ b/src/testing/balancing_simulation.ts
@@ -368,6 +368,7 @@
     {
       id: `engine-${index}`,
       rowVersion: 1,
+      softwareVersion: 'v1',
       service: 'engines',
       address: `127.0.0.1:${9000 + index}`,
       dataCentre: dataCentreOf(index),
--- a/src/testing/cold_fleet.ts
+++ b/src/testing/cold_fleet.ts
@@ -347,6 +347,7 @@
     id,
     rowVersion,
     service: SERVICE.name,
+    softwareVersion: 'v1',
     address: '10.0.0.1:80',
     dataCentre: 'zone-a',
     slots: 16,
--- a/src/testing/managed_pool.ts
+++ b/src/testing/managed_pool.ts
@@ -37,6 +37,7 @@
   return {
     id: 'engine-1',
     rowVersion: 1,
+    softwareVersion: 'v1',
     service: 'engines',
     address: '127.0.0.1:1',
     dataCentre: 'zone-a',
--- a/src/testing/pool_traffic.ts
+++ b/src/testing/pool_traffic.ts
@@ -44,6 +44,7 @@
   return Array.from({length: count}, (_unused, index) => ({
     id: `i-${(0xa00000000 + index * 7919).toString(16)}`,
     rowVersion: index,
+    softwareVersion: 'v1',
     service: POOL_SERVICE,
     address: `10.1.64.${index}:8048`,
     dataCentre: 'ist-a',
--- a/src/testing/routed_requests.ts
+++ b/src/testing/routed_requests.ts
@@ -61,6 +61,7 @@
       promptParts: [],
       deadlineMilliseconds: undefined,
       lastEventId: undefined,
+      resumes: undefined,
     },
     route: {
       name: 'chat',
