--- a/src/relay/_request_log.ts
+++ b/src/relay/_request_log.ts
@@ -172,6 +172,7 @@
     const {clock} = this.options;
     return {
       requestId: this.metadata.requestId,
+      resumes: this.metadata.resumes,
       route: this.route,
       service: this.service,
       team: this.team,
