Let requests wait for the first configuration of a host

Cause: the host listens before it reads, and refused at once with a Retry-After of 500 ms, although it knew its configuration some 50 ms later. Callers have one or two tries.

A request now waits up to the 500 ms for which its caller would be told to stay away, and is refused only then. Readiness is as before, so callers that ask first are not led there.

Measured: returning_callers_test, 503 in place of 200 before (1 of 2 cases), both pass now.

--- a/src/relay/request_relay.ts
+++ b/src/relay/request_relay.ts
@@ -23,10 +23,17 @@
 import type {RoutedRequest} from './endpoint_source.ts';
 import type {RequestRelayOptions} from './relay_options.ts';
 import type {RequestMetadata} from './request_metadata.ts';
+import {sleep} from '../time/mod.ts';
 
-/** Retry-After value sent while this host has no configuration. */
+/**
+ * Time for which requests wait for the first configuration, and Retry-After value sent
+ * after it.
+ */
 const UNCONFIGURED_RETRY_MILLISECONDS = 500;
 
+/** Interval at which waiting requests look for the first configuration. */
+const ROUTES_CHECK_MILLISECONDS = 20;
+
 /** Retry-After value sent while this host holds too many bytes. */
 const FULL_RETRY_MILLISECONDS = 500;
 
@@ -124,7 +131,7 @@
     context: RequestContext,
   ): Promise<RequestError | undefined> {
     const {metadata, log, arrivedAt, callerLeft} = context;
-    const index = this.options.routes();
+    const index = await this.waitForRoutes(callerLeft);
     if (index === undefined) {
       return notRunError(
         REQUEST_ERROR_CODES.viewUnconfirmed,
@@ -188,6 +195,27 @@
     return error;
   }
 
+  /**
+   * Waits for the first configuration, which a host usually gets a moment after its
+   * start. Callers whose streams the loss of a host has broken off are the first to come,
+   * and many of them can try only once.
+   */
+  private async waitForRoutes(
+    signal: AbortSignal,
+  ): Promise<RouteIndex | undefined> {
+    const {clock, routes} = this.options;
+    const startedAt = clock.monotonicMilliseconds();
+    for (;;) {
+      const index = routes();
+      const waited = clock.monotonicMilliseconds() - startedAt;
+      if (index !== undefined || waited >= UNCONFIGURED_RETRY_MILLISECONDS)
+        return index;
+      if (signal.aborted || this.stopController.signal.aborted)
+        return undefined;
+      await sleep(clock, ROUTES_CHECK_MILLISECONDS, signal);
+    }
+  }
+
   /** Returns the cost of a request that no endpoint has run to its team. */
   private refund({metadata, team}: RoutedRequest, takenAt: number): void {
     const terms = this.options
--- a/src/testing/entry_fleet.ts
+++ b/src/testing/entry_fleet.ts
@@ -56,6 +56,16 @@
   async startHost(
     hostId: string,
     overrides: Partial<EntrySettings> = {},
+  ): Promise<FleetHost> {
+    const host = await this.startUnconfiguredHost(hostId, overrides);
+    await this.waitForLines(hostId, 'configurationApplied', 1);
+    return host;
+  }
+
+  /** Starts a host and waits until it knows the endpoints. */
+  async startUnconfiguredHost(
+    hostId: string,
+    overrides: Partial<EntrySettings> = {},
   ): Promise<FleetHost> {
     const [callers, readiness, directory, peers] = await freePorts(4);
     const settings = entrySettings(hostId, this.store.address, {
@@ -78,7 +88,6 @@
     });
     this.hosts.push(host);
     await this.waitForLines(hostId, 'endpointFound', this.endpoints.length);
-    await this.waitForLines(hostId, 'configurationApplied', 1);
     return {
       host,
       callerPort: callers!,
