Take no status outside HTTP for an answer

Cause, here as well: Node.js passes the three digits of a status line on whatever they are. From 600 on the caller got them as an answer; below 100, writing the head threw, so the connection was cut, the request was not tried again and the log said unexpectedFailure. Class of fault: input that a library has parsed is taken to be valid.

The exchange with endpoints, the control calls (engines, store) and the daemon's exchange now treat such a response as none: the connection is closed, the request may have run, and the reason is in the log (attemptFailed, the call's error). An idempotent request goes to another endpoint, others get 502. The daemon's stores compare with the statuses that they expect and were not affected.

--- a/src/endpoints/_http_exchange.ts
+++ b/src/endpoints/_http_exchange.ts
@@ -8,7 +8,7 @@
   success,
 } from '../errors/mod.ts';
 import {ByteCollector} from '../bytes/mod.ts';
-import {watchConnection} from '../exchange/mod.ts';
+import {isHttpStatus, watchConnection} from '../exchange/mod.ts';
 import {type Clock, SystemClock} from '../time/mod.ts';
 import {readWithTimeout, InactivityTimeoutError} from './_read_with_timeout.ts';
 import type {EndpointError, EndpointStep} from './endpoint_error.ts';
@@ -129,7 +129,13 @@
     });
     return new Promise(resolve => {
       stream.once('response', (message: IncomingMessage) => {
-        const status = message.statusCode ?? 0;
+        const status = message.statusCode;
+        if (!isHttpStatus(status)) {
+          const reason = `${status} is no HTTP status`;
+          resolve(failure(this.invalidAnswerError(step, reason)));
+          stream.destroy();
+          return;
+        }
         const body = this.readBody(stream, progress, () =>
           hasConnectionFailed(),
         );
--- a/src/exchange/call_http.ts
+++ b/src/exchange/call_http.ts
@@ -6,6 +6,7 @@
   success,
 } from '../errors/mod.ts';
 import {ByteCollector} from '../bytes/mod.ts';
+import {isHttpStatus} from './is_http_status.ts';
 import {watchConnection} from './watch_connection.ts';
 
 /** Options of {@link callHttp}. */
@@ -109,6 +110,12 @@
       fail(new Error('switched protocols without being asked'));
     });
     clientRequest.on('response', response => {
+      const status = response.statusCode;
+      if (!isHttpStatus(status)) {
+        fail(new Error(`${status} is no HTTP status`));
+        terminate('invalid status');
+        return;
+      }
       const collector = new ByteCollector();
       response.on('data', (chunk: Buffer) => {
         if (collector.length + chunk.length <= MAXIMUM_RESPONSE_BYTES) {
@@ -132,7 +139,7 @@
         clearTimeout(timer);
         resolve(
           success({
-            status: response.statusCode ?? 0,
+            status,
             headers: response.headers,
             body: collector.take(),
           }),
--- a/src/exchange/mod.ts
+++ b/src/exchange/mod.ts
@@ -24,6 +24,7 @@
 } from './send_to_endpoint.ts';
 export {discardResponse} from './discard_response.ts';
 export {isConnectionRefused} from './is_connection_refused.ts';
+export {isHttpStatus} from './is_http_status.ts';
 export {isSocketAddress} from './is_socket_address.ts';
 export {isUnframed} from './is_unframed.ts';
 export {watchConnection} from './watch_connection.ts';
--- a/src/exchange/send_to_endpoint.ts
+++ b/src/exchange/send_to_endpoint.ts
@@ -6,6 +6,7 @@
 } from 'node:http';
 import {isConnectFailureCode} from '../errors/mod.ts';
 import {ConnectionRecord} from './connection_record.ts';
+import {isHttpStatus} from './is_http_status.ts';
 import {watchConnection} from './watch_connection.ts';
 
 /**
@@ -164,6 +165,13 @@
     });
     clientRequest.once('response', message => {
       clearTimeout(timer);
+      const status = message.statusCode;
+      if (!isHttpStatus(status)) {
+        const reason = `${status} is no HTTP status`;
+        resolve({kind: 'unknown', reason, timedOut: false});
+        terminate(reason);
+        return;
+      }
       message.once('end', () => {
         if (clientRequest.writableFinished) return;
         timer = setTimeout(
@@ -176,7 +184,7 @@
       });
       resolve({
         kind: 'answer',
-        status: message.statusCode ?? 0,
+        status,
         message,
         earlierRequests,
         isFramed:
