Doubt the version of streams whose pages may not tell it

Found by reading it and writing its unit tests: a page that cannot be read counted as one that states nothing; a stream tried at one version and begun at another could be forwarded while its page still stated the first (store away for 250 ms); a page of a host that is gone kept all unrecorded streams in doubt for ever after the store came back from an older copy. Versions of a service were also counted anew for each stream.

An unreadable page now leaves doubt; a stream that has moved waits until it is recorded; a page that its host does not write anew counts as abandoned once its streams have ended, and is removed; the registry keeps the versions until endpoints change.

--- a/src/fleet/endpoint_registry.ts
+++ b/src/fleet/endpoint_registry.ts
@@ -34,6 +34,8 @@
   private readonly listeners = new Set<() => void>();
   private evacuated: ReadonlySet<string> = new Set();
   private hasSnapshot = false;
+  /** Software versions by service; emptied when endpoints change. */
+  private readonly versions = new Map<string, ReadonlySet<string>>();
   private readonly observers = new Set<EndpointObserver>();
 
   constructor(private readonly options: EndpointRegistryOptions) {}
@@ -52,10 +54,13 @@
 
   /** Software versions of the known processes of a service, including leaving ones. */
   versionsOf(service: string): ReadonlySet<string> {
+    const known = this.versions.get(service);
+    if (known !== undefined) return known;
     const versions = new Set<string>();
     for (const {record} of this.endpoints.values()) {
       if (record.service === service) versions.add(record.softwareVersion);
     }
+    this.versions.set(service, versions);
     return versions;
   }
 
@@ -168,6 +173,7 @@
   /** @param era Era of the store to which the version of the row belongs. */
   private update(record: EndpointRecord, era: number): void {
     const {logger} = this.options;
+    this.versions.clear();
     this.pendingRemovals.get(record.id)?.();
     this.pendingRemovals.delete(record.id);
     const known = this.endpoints.get(record.id);
@@ -255,6 +261,7 @@
   private removeNow(id: string): void {
     const endpoint = this.endpoints.get(id);
     if (endpoint === undefined) return;
+    this.versions.clear();
     this.pendingRemovals.delete(id);
     this.endpoints.delete(id);
     this.options.logger.event('endpointGone', describe(endpoint.record));
--- a/src/streams/_abandoned_pages.ts
+++ b/src/streams/_abandoned_pages.ts
@@ -11,37 +11,47 @@
   isListed: (hostId: string) => boolean;
 }
 
-/** Pages of hosts that are gone for good, and whose streams have ended. */
+/**
+ * Pages of hosts that are gone for good, and whose streams have ended: the host is not
+ * listed, or has not written its page anew although the store has lost some of it.
+ */
 export class AbandonedPages {
-  /** Monotonic time since which each host with a page was not listed. */
-  private readonly missingSince = new Map<string, number>();
+  /** Monotonic time since which each page, by host and version, has been suspect. */
+  private suspectSince = new Map<string, number>();
 
   constructor(private readonly options: AbandonedPagesOptions) {}
 
-  /** Records which hosts are missing, and removes their pages in time. */
-  observe({pages}: StoredPages): void {
+  /** Records which pages are suspect, and removes them in time. */
+  observe({pages, era}: StoredPages): void {
     const {clock, isListed, store} = this.options;
     const now = clock.monotonicMilliseconds();
-    const missing = pages.filter(({hostId}) => !isListed(hostId));
-    const missingIds = new Set(missing.map(({hostId}) => hostId));
-    for (const hostId of [...this.missingSince.keys()]) {
-      if (!missingIds.has(hostId)) this.missingSince.delete(hostId);
-    }
-    for (const page of missing) {
-      const {hostId, version} = page;
-      if (!this.missingSince.has(hostId)) this.missingSince.set(hostId, now);
+    const suspects = pages.filter(
+      ({hostId, page}) => !isListed(hostId) || page?.era !== era,
+    );
+    this.suspectSince = new Map(
+      suspects.map(page => {
+        const key = keyOf(page);
+        return [key, this.suspectSince.get(key) ?? now];
+      }),
+    );
+    for (const page of suspects) {
       // A removal that fails is tried again after the next read.
-      if (this.has(page)) void store.write(hostId, undefined, version);
+      if (this.has(page))
+        void store.write(page.hostId, undefined, page.version);
     }
   }
 
   /** Whether no stream of a page can be alive. */
-  has({hostId}: StoredPage): boolean {
+  has(page: StoredPage): boolean {
     const {clock, longestStreamMilliseconds} = this.options;
-    const since = this.missingSince.get(hostId);
+    const since = this.suspectSince.get(keyOf(page));
     return (
       since !== undefined &&
       clock.monotonicMilliseconds() - since > longestStreamMilliseconds()
     );
   }
 }
+
+function keyOf({hostId, version}: StoredPage): string {
+  return `${version} ${hostId}`;
+}
--- a/src/streams/_common_version.ts
+++ b/src/streams/_common_version.ts
@@ -10,7 +10,8 @@
 
 /**
  * Version at which all unrecorded streams of a service have begun, according to the
- * pages of all hosts; undefined if they state several ones or none.
+ * pages of all hosts; undefined if they state several ones or none, or one of them
+ * cannot be read.
  */
 export function commonVersion(
   pages: readonly StoredPage[],
@@ -18,6 +19,7 @@
   {era, storeMilliseconds}: ReadMoment,
 ): string | undefined {
   let version: string | undefined;
+  if (pages.some(({page}) => page === undefined)) return undefined;
   for (const mode of pages.flatMap(stated => modesOf(stated))) {
     if (mode.kind === 'mixed') return undefined;
     if (version !== undefined && mode.version !== version) return undefined;
@@ -26,6 +28,7 @@
   return version;
 
   function modesOf({page}: StoredPage): readonly ServiceMode[] {
+    if (page === undefined) return [];
     const own = page.modes[service];
     const former = page.former
       .filter(entry => entry.service === service)
--- a/src/streams/origin_store.ts
+++ b/src/streams/origin_store.ts
@@ -27,7 +27,8 @@
 /** The page of one host as it was read. */
 export interface StoredPage {
   readonly hostId: string;
-  readonly page: OriginPage;
+  /** Undefined if it cannot be read. */
+  readonly page: OriginPage | undefined;
   /** Version of the row. */
   readonly version: number;
 }
@@ -103,18 +104,8 @@
     storeClock.recordCall({startedAt, storeMilliseconds});
     const pages = rows.flatMap(({key, value, version}) => {
       if (value === undefined) return [];
-      const page = decodeOriginPage(value) ?? UNREADABLE_PAGE;
-      return [{hostId: key, page, version}];
+      return [{hostId: key, page: decodeOriginPage(value), version}];
     });
     return {pages, era};
   }
 }
-
-/** Stands for a page of which nothing is known: of an era that the store never has. */
-const UNREADABLE_PAGE: OriginPage = {
-  writer: '',
-  era: 0,
-  modes: {},
-  former: [],
-  streams: [],
-};
--- a/src/streams/stream_origins.ts
+++ b/src/streams/stream_origins.ts
@@ -103,10 +103,12 @@
    * @returns Settles when the stream may be forwarded; undefined if it may be at once.
    */
   begin(stream: ResumableStream, version: string): Promise<void> | undefined {
+    const earlier = this.memory.find(stream.key);
     this.memory.add(stream, version);
     this.builder.use(stream.service);
     if (this.isCovered(stream.service, version)) return undefined;
-    return this.record(stream);
+    const isMoved = earlier !== undefined && earlier !== version;
+    return this.record(stream, isMoved);
   }
 
   /** Finds the version at which a stream has begun. */
@@ -153,7 +155,14 @@
     );
   }
 
-  private async record({key, service}: ResumableStream): Promise<void> {
+  /**
+   * @param isMoved Whether the page may state another version, at which the stream was
+   *     tried before it began. It is not forwarded then before it is recorded.
+   */
+  private async record(
+    {key, service}: ResumableStream,
+    isMoved: boolean,
+  ): Promise<void> {
     const {clock, logger} = this.options;
     const timeout = new AbortController();
     const startedAt = clock.monotonicMilliseconds();
@@ -165,10 +174,8 @@
       timeout.abort();
     });
     this.writeSoon();
-    await Promise.race([
-      written,
-      sleep(clock, RECORD_TIMEOUT_MILLISECONDS, timeout.signal),
-    ]);
+    const timedOut = sleep(clock, RECORD_TIMEOUT_MILLISECONDS, timeout.signal);
+    await (isMoved ? written : Promise.race([written, timedOut]));
     const waited = clock.monotonicMilliseconds() - startedAt;
     this.options.metrics.recordDuration(
       'limpetdale_stream_origin_write_seconds',
@@ -234,7 +241,7 @@
     const own = stored.pages.find(page => page.hostId === hostId);
     this.rowVersion = own?.version ?? 0;
     const now = this.storeNow();
-    if (own !== undefined && now !== undefined)
+    if (own?.page !== undefined && now !== undefined)
       this.builder.takeOver(own.page, stored.era, now);
     return true;
   }
@@ -243,7 +250,7 @@
   private withoutOwnModes(stored: StoredPage): StoredPage {
     const {hostId, incarnation} = this.options;
     const {page} = stored;
-    const isOwn = stored.hostId === hostId && page.writer === incarnation;
+    const isOwn = stored.hostId === hostId && page?.writer === incarnation;
     return isOwn ? {...stored, page: {...page, modes: {}}} : stored;
   }
 
@@ -266,7 +273,7 @@
 
 function findRecorded({pages}: StoredPages, key: string): string | undefined {
   for (const {page} of pages) {
-    const entry = page.streams.find(([recorded]) => recorded === key);
+    const entry = page?.streams.find(([recorded]) => recorded === key);
     if (entry !== undefined) return entry[1];
   }
   return undefined;
