Let the soak replace engines by other versions and take streams up again

Engines change their version with each restart, and their events name it. Callers leave three in ten resumable streams after the first event, and take up these and those that break off, at any host, up to three times. All hosts are killed at once every 12 s in the mean. A new promise: a stream has events of one version over all tries; wholeness is checked for the rest of a stream as well. Three cases of check_promises_test show that the checks can fail.

--- a/soak/check_promises.ts
+++ b/soak/check_promises.ts
@@ -14,6 +14,7 @@
   'one_holder_orders',
   'undisturbed_request_is_answered',
   'withdrawn_key_is_refused',
+  'stream_keeps_its_version',
 ] as const;
 
 /** One of {@link PROMISES}. */
@@ -38,8 +39,11 @@
 } as const;
 
 const WHOLE_BODY = 'the whole answer';
-const WHOLE_STREAM =
-  'id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\nid: 3\ndata: event 3\n\n';
+/** Ids of the events of a whole stream. */
+const EVENTS = [1, 2, 3] as const;
+
+/** Comment in which an event names the software version of its engine. */
+const VERSION_COMMENT = /^: (.*)\n/gm;
 
 /** Statuses that promise that a request has not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -49,6 +53,7 @@
   return [
     ...records.requests.flatMap(request => checkRequest(request, records)),
     ...checkOrders(records),
+    ...checkVersions(records),
   ];
 }
 
@@ -73,9 +78,15 @@
 }
 
 function isOwnAndWhole(request: SentRequest): boolean {
-  const {status, kind, body, isBroken, answeredId, id} = request;
+  const {status, kind, isBroken, answeredId, id, afterEvent = 0} = request;
   if (status === undefined || status < 200 || status >= 300) return true;
-  const whole = kind === 'look' || kind === 'order' ? WHOLE_BODY : WHOLE_STREAM;
+  const whole =
+    kind === 'look' || kind === 'order'
+      ? WHOLE_BODY
+      : EVENTS.filter(event => event > afterEvent)
+          .map(event => `id: ${event}\ndata: event ${event}\n\n`)
+          .join('');
+  const body = request.body.replaceAll(VERSION_COMMENT, '');
   const isWhole = isBroken ? whole.startsWith(body) : body === whole;
   return answeredId === id && isWhole;
 }
@@ -116,6 +127,24 @@
   return !isDisturbed;
 }
 
+/** Finds streams with events of several software versions, over all tries. */
+function checkVersions({requests}: SoakRecords): readonly Violation[] {
+  const versions = new Map<string, Set<string>>();
+  for (const {id, resumes, body} of requests) {
+    const stream = resumes ?? id;
+    const known = versions.get(stream) ?? new Set<string>();
+    for (const [, version = ''] of body.matchAll(VERSION_COMMENT))
+      known.add(version);
+    versions.set(stream, known);
+  }
+  return [...versions]
+    .filter(([, known]) => known.size > 1)
+    .map(([stream, known]) => ({
+      promise: 'stream_keeps_its_version',
+      seen: {stream, versions: [...known]},
+    }));
+}
+
 function checkOrders({orders, disruptions}: SoakRecords): readonly Violation[] {
   const byEngine = new Map<string, ArrivedOrder[]>();
   for (const order of orders) {
--- a/soak/check_promises_test.ts
+++ b/soak/check_promises_test.ts
@@ -48,6 +48,30 @@
 }
 
 const CASES: Case[] = [
+  {
+    name: 'a stream that goes on after its first event',
+    request: {
+      ...{kind: 'draft', resumes: 'first', afterEvent: 1},
+      body: 'id: 2\n: v1\ndata: event 2\n\nid: 3\n: v1\ndata: event 3\n\n',
+    },
+  },
+  {
+    name: 'a stream that goes on at another software version',
+    request: {
+      ...{kind: 'draft', resumes: 'first', afterEvent: 1},
+      body: 'id: 2\n: v1\ndata: event 2\n\nid: 3\n: v2\ndata: event 3\n\n',
+    },
+    broken: 'stream_keeps_its_version',
+  },
+  {
+    name: 'a stream that goes on at the wrong event',
+    request: {
+      ...{kind: 'draft', resumes: 'first', afterEvent: 1},
+      body: 'id: 3\n: v1\ndata: event 3\n\n',
+    },
+    broken: 'answer_is_own_and_whole',
+  },
+
   {name: 'an order that is served'},
   {
     name: 'an order that runs twice',
--- a/soak/fault_plan.ts
+++ b/soak/fault_plan.ts
@@ -57,6 +57,12 @@
   | {
       readonly subject: 'keys';
       readonly at: number;
+    }
+  /** All hosts are killed at once. */
+  | {
+      readonly subject: 'fleet';
+      readonly at: number;
+      readonly forMilliseconds: number;
     };
 
 /** Options of {@link drawFaults}. */
@@ -76,6 +82,7 @@
   store: 6000,
   endpoint: 3000,
   keys: 10_000,
+  fleet: 12_000,
 } as const;
 
 /** Shortest and longest fault. */
@@ -129,6 +136,11 @@
       subject: 'keys' as const,
       at,
     })),
+    ...series(MEAN_GAP_MILLISECONDS.fleet).map(at => ({
+      subject: 'fleet' as const,
+      at,
+      forMilliseconds: duration(),
+    })),
   ];
   return faults.sort((left, right) => left.at - right.at);
 }
--- a/soak/soak_caller.ts
+++ b/soak/soak_caller.ts
@@ -12,6 +12,16 @@
   readonly callerPort: number;
 }
 
+/** What a caller sends. */
+interface RequestToSend {
+  readonly id: string;
+  readonly kind: RequestKind;
+  /** Drawn if it is undefined. */
+  readonly model?: string | undefined;
+  readonly resumes?: string;
+  readonly afterEvent?: number;
+}
+
 /** Options of {@link SoakCaller}. */
 export interface SoakCallerOptions {
   index: number;
@@ -28,6 +38,14 @@
 /** Time after which a caller gives up; well above the time-out of all routes. */
 const PATIENCE_MILLISECONDS = 10_000;
 
+/** Share of the streams that their callers leave after the first event. */
+const LEAVING_SHARE = 0.3;
+
+/** Tries at most to take a stream up. */
+const MAXIMUM_TAKE_UPS = 3;
+
+const LAST_EVENT = 3;
+
 /** Requests in a row to one host, over one connection as long as it lasts. */
 const MAXIMUM_SERIES = 40;
 
@@ -51,8 +69,12 @@
       const series = random.integer(1, MAXIMUM_SERIES);
       for (let sent = 0; sent < series && !this.isStopped; sent++) {
         const id = `caller-${index}-${this.count++}`;
-        const request = await this.send(host, id, random.pick(REQUEST_KINDS));
+        const request = await this.send(host, {
+          id,
+          kind: random.pick(REQUEST_KINDS),
+        });
         this.options.onEnded(request);
+        if (request.kind === 'draft') await this.takeUp(request);
         const {minimum, maximum} = PAUSE_MILLISECONDS;
         const pause = random.integer(minimum, maximum);
         await new Promise(resolve => setTimeout(resolve, pause));
@@ -63,13 +85,28 @@
     this.agent.destroy();
   }
 
-  private send(
-    host: CallableHost,
-    id: string,
-    kind: RequestKind,
-  ): Promise<SentRequest> {
+  /** Takes a stream up, at any hosts, until it has ended. */
+  private async takeUp(first: SentRequest): Promise<void> {
+    const {random, hosts, onEnded} = this.options;
+    let afterEvent = lastEventOf(first.body) ?? 0;
+    for (let tries = 0; tries < MAXIMUM_TAKE_UPS; tries++) {
+      if (this.isStopped || afterEvent === 0 || afterEvent === LAST_EVENT)
+        return;
+      const {id: resumes, kind, model} = first;
+      const id = `${resumes}-again-${tries}`;
+      const again = {id, kind, model, resumes, afterEvent};
+      const request = await this.send(random.pick(hosts), again);
+      onEnded(request);
+      afterEvent = lastEventOf(request.body) ?? afterEvent;
+    }
+  }
+
+  private send(host: CallableHost, sent: RequestToSend): Promise<SentRequest> {
     const {random, models} = this.options;
+    const {id, kind, resumes, afterEvent} = sent;
     const key = this.options.key();
+    const model = sent.model ?? random.pick(models);
+    const leaves = kind === 'draft' && random.chance(LEAVING_SHARE);
     const sentAt = performance.now();
     const isModelRequest = kind === 'chat' || kind === 'draft';
     return new Promise(resolve => {
@@ -81,6 +118,8 @@
         clearTimeout(timer);
         resolve({
           ...{id, kind, key, sentAt, status, answeredId, body, hasTimedOut},
+          model,
+          ...(resumes === undefined ? {} : {resumes, afterEvent}),
           host: host.name,
           endedAt: performance.now(),
           isBroken,
@@ -96,7 +135,10 @@
           Host: 'api.example',
           'Request-Id': id,
           'X-Api-Key': key,
-          ...(isModelRequest ? {Model: random.pick(models)} : {}),
+          ...(isModelRequest ? {Model: model} : {}),
+          ...(resumes === undefined
+            ? {}
+            : {Resumes: resumes, 'Last-Event-Id': String(afterEvent)}),
         },
       });
       const timer = setTimeout(() => {
@@ -107,11 +149,26 @@
       request.on('response', response => {
         status = response.statusCode;
         answeredId = response.headers['request-id'] as string | undefined;
-        response.on('data', (chunk: Buffer) => (body += chunk.toString()));
-        response.on('end', () => finish(!response.complete));
+        response.on('data', (chunk: Buffer) => {
+          body += chunk.toString();
+          const end = body.indexOf('\n\n');
+          if (!leaves || end < 0 || hasTimedOut) return;
+          body = body.slice(0, end + 2);
+          hasTimedOut = true;
+          request.destroy();
+        });
+        response.on('end', () => finish(hasTimedOut || !response.complete));
         response.on('error', () => finish(true));
       });
       request.end();
     });
   }
 }
+
+/** Id of the last whole event of a body. */
+function lastEventOf(body: string): number | undefined {
+  const whole = body.slice(0, body.lastIndexOf('\n\n') + 1);
+  const ids = [...whole.matchAll(/^id: (\d+)$/gm)];
+  const last = ids.at(-1)?.[1];
+  return last === undefined ? undefined : Number(last);
+}
--- a/soak/soak_records.ts
+++ b/soak/soak_records.ts
@@ -14,6 +14,8 @@
 export interface SentRequest {
   readonly id: string;
   readonly kind: RequestKind;
+  /** Model that a stream asked for. */
+  readonly model?: string;
   readonly host: string;
   readonly key: string;
   readonly sentAt: number;
@@ -25,8 +27,12 @@
   readonly body: string;
   /** Whether the connection ended before the answer did. */
   readonly isBroken: boolean;
-  /** Whether the caller gave up. */
+  /** Whether the caller gave up or left. */
   readonly hasTimedOut: boolean;
+  /** Last event of earlier tries, after which the stream goes on. @default 0 */
+  readonly afterEvent?: number;
+  /** Id of the try that brought the first event. */
+  readonly resumes?: string;
 }
 
 /** An order as an engine has seen it. */
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -36,6 +36,9 @@
   readonly served: number;
   readonly refused: number;
   readonly unanswered: number;
+  /** Streams that callers took up again, and those of them that went on. */
+  readonly takenUp: number;
+  readonly wentOn: number;
   readonly orders: number;
   readonly faults: number;
   /** Processes that ended by themselves, with their exit code or signal. */
@@ -61,6 +64,7 @@
 
 const ENGINES = 2;
 const PLAIN_ENDPOINTS = 2;
+const SOFTWARE_VERSIONS = 2;
 const CALLERS_PER_HOST = 3;
 const MODELS = ['model-a', 'model-b', 'model-c'] as const;
 const KEYS = {kept: 'key-kept', changed: 'key-changed'} as const;
@@ -148,8 +152,14 @@
     starts,
   }: Omit<SoakEndpoint, 'current'>): Promise<PlatformEndpointStandIn> {
     const models = service === 'engines' ? {models: [MODELS[0]]} : {};
+    // One engine after the other changes its version, and some change it back.
+    const softwareVersion = `v${1 + (starts % SOFTWARE_VERSIONS)}`;
     const endpoint = await PlatformEndpointStandIn.start(
-      {id, service, loadMilliseconds: 100, ...models},
+      {
+        ...{id, service, softwareVersion, eventsNameVersion: true},
+        loadMilliseconds: 100,
+        ...models,
+      },
       this.store,
     );
     endpoint.runMilliseconds = 20;
@@ -268,6 +278,13 @@
         return this.disturbEndpoint(fault);
       case 'keys':
         return this.replaceKey();
+      case 'fleet':
+        await Promise.all(
+          this.hosts.map((_host, index) =>
+            this.disturbHost({...fault, subject: 'host', kind: 'kill', index}),
+          ),
+        );
+        return;
       default:
         return unreachable(fault);
     }
@@ -450,6 +467,10 @@
       served: count(({status}) => status !== undefined && status < 300),
       refused: count(({status}) => status !== undefined && status >= 400),
       unanswered: count(({status}) => status === undefined),
+      takenUp: count(({resumes}) => resumes !== undefined),
+      wentOn: count(
+        ({resumes, body}) => resumes !== undefined && body.includes('id: '),
+      ),
       orders: orders.length,
       faults: disruptions.length,
       ownEnds: [...this.ownEnds].map(({ended}) => String(ended)),
--- a/soak/soak_run_test.ts
+++ b/soak/soak_run_test.ts
@@ -19,11 +19,12 @@
   'the promises hold under the faults of seed $seed',
   async ({seed}) => {
     const run = new SoakRun({seed, seconds: SECONDS, hosts: 4, programs});
-    const {violations, ownEnds, served, orders} = await run.run();
+    const {violations, ownEnds, served, orders, wentOn} = await run.run();
     expect(violations).toEqual([]);
     expect(ownEnds).toEqual([]);
     expect(served).toBeGreaterThan(0);
     expect(orders).toBeGreaterThan(0);
+    expect(wentOn).toBeGreaterThan(0);
   },
   TEST_TIMEOUT_MILLISECONDS,
 );
--- a/src/testing/platform_endpoint_stand_in.ts
+++ b/src/testing/platform_endpoint_stand_in.ts
@@ -68,6 +68,8 @@
   loadMilliseconds?: number;
   /** Events of a stream. @default 3 */
   events?: number;
+  /** Whether each event names the software version in a comment. @default false */
+  eventsNameVersion?: boolean;
 }
 
 /** Stand-in of an engine or a plain service, after the platform's protocol page. */
@@ -338,7 +340,7 @@
         setTimeout(() => request.socket.destroy(), 10);
         return;
       case 'cuts_stream':
-        response.writeHead(200, own).write('id: 1\ndata: event 1\n\n');
+        response.writeHead(200, own).write(this.event(firstEventOf(request)));
         setTimeout(() => request.socket.destroy(), 10);
         return;
       case 'cuts_unframed_stream':
@@ -408,15 +410,20 @@
     response: ServerResponse,
     own: Record<string, string | string[]>,
   ): void {
-    const start = Number(request.headers['last-event-id'] ?? 0);
     response.writeHead(200, {...own, 'Content-Type': 'text/event-stream'});
     const events = this.options.events ?? 3;
-    for (let id = start + 1; id <= events; id++) {
-      response.write(`id: ${id}\ndata: event ${id}\n\n`);
+    for (let id = firstEventOf(request); id <= events; id++) {
+      response.write(this.event(id));
     }
     response.end();
   }
 
+  private event(id: number): string {
+    const {eventsNameVersion, softwareVersion} = this.options;
+    const comment = eventsNameVersion === true ? `: ${softwareVersion}\n` : '';
+    return `id: ${id}\n${comment}data: event ${id}\n\n`;
+  }
+
   private takeOrder(response: ServerResponse, body: Buffer): void {
     const order = JSON.parse(body.toString()) as {
       operation: 'load' | 'unload';
@@ -465,3 +472,8 @@
     return this.trouble;
   }
 }
+
+/** Id of the first event that a caller has not got yet. */
+function firstEventOf({headers}: IncomingMessage): number {
+  return Number(headers['last-event-id'] ?? 0) + 1;
+}
