End streams whose caller leaves while they are held back

What callers could see: engines counted as busy with a stream of a caller that had left, until the store answered again.

Cause: a stream that is held back until its version is recorded ended only after that, so that the held events are not counted as delivered and lost. Where the wait has no limit (a stream that was tried at another version before, store away), a caller that had left kept its endpoint's place taken.

The end is no longer put off once the caller has left.

--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -16,6 +16,7 @@
 import {failureCode} from './_failure_code.ts';
 import {findMismatch} from './_find_mismatch.ts';
 import {findTooLate} from './find_too_late.ts';
+import {OriginGuard} from './_origin_guard.ts';
 import {
   HOLD_SHARE,
   MAXIMUM_DISPATCHES,
@@ -27,7 +28,6 @@
   recordRunDuration,
 } from './_record_durations.ts';
 import {type RequestEnd, watchRequestEnd} from './_request_end.ts';
-import {OriginGuard} from './_origin_guard.ts';
 import {sendAttempt} from './_send_attempt.ts';
 import {streamResponse} from './_stream_response.ts';
 import {writeResponseHead} from './_write_response_head.ts';
@@ -65,11 +65,8 @@
     const {fingerprint, request} = this.context;
     try {
       if (!this.options.crashGuard.allows(fingerprint)) {
-        return dispatchError(
-          REQUEST_ERROR_CODES.quarantined,
-          'The request has crashed several endpoints',
-          true,
-        );
+        const reason = 'The request has crashed several endpoints';
+        return dispatchError(REQUEST_ERROR_CODES.quarantined, reason, true);
       }
       this.options.retryBudget.recordRequest(request.service.name);
       return (await this.origin.find()) ?? (await this.attemptUntilDone());
@@ -356,6 +353,7 @@
       onFirstEvent: () => this.recordBegun(run),
       forwardsWholeEvents: request.route.resumable,
       mayForward: this.origin.mayForward,
+      callerLeft: this.context.callerLeft,
     });
     if (outcome === 'complete') {
       // Without framing, a crash before the first event looks like an empty stream.
--- a/src/relay/_stream_response.ts
+++ b/src/relay/_stream_response.ts
@@ -14,6 +14,8 @@
   readonly forwardsWholeEvents: boolean;
   /** Settles when events may be forwarded; undefined if they may at once. */
   readonly mayForward: Promise<void> | undefined;
+  /** Aborted when the caller disconnects. */
+  readonly callerLeft: AbortSignal;
 }
 
 /**
@@ -42,8 +44,8 @@
     let outcome: StreamOutcome | undefined;
     const finish = (ended: StreamOutcome) => {
       outcome ??= ended;
-      // The splitter counts what is held as delivered.
-      if (isHeld) return;
+      // The splitter counts what is held as delivered, so it must still be forwarded.
+      if (isHeld && !stream.callerLeft.aborted) return;
       writer.attach(undefined);
       resolve(outcome);
     };
--- a/src/relay/endless_response_test.ts
+++ b/src/relay/endless_response_test.ts
@@ -150,6 +150,7 @@
             onFirstEvent: () => undefined,
             forwardsWholeEvents,
             mayForward: undefined,
+            callerLeft: new AbortController().signal,
           }).then(resolve);
         });
         caller.listen(0, '127.0.0.1', () => {
