--- a/review/support-3/server.ts
+++ b/review/support-3/server.ts
@@ -80,6 +80,7 @@
   private held = new Map<string, Set<string>>();
   private born = 0;
   private beats = 0;
+  private beatenAt = 0;
   private accepted = 0;
   private isBusy = false;
   private state: 'ready' | 'draining' = 'ready';
@@ -154,6 +155,7 @@
 
   private beat(): void {
     this.beats++;
+    this.beatenAt = Date.now();
     this.options.store.put('servers', this.id, this.row());
   }
 
@@ -198,9 +200,10 @@
     server?.closeAllConnections();
     server?.close();
     this.server = undefined;
+    const silentFor = Date.now() - this.beatenAt;
     setTimeout(
       () => store.drop('servers', id),
-      HEARTBEAT_MILLISECONDS * MISSED_HEARTBEATS,
+      HEARTBEAT_MILLISECONDS * MISSED_HEARTBEATS - silentFor,
     );
     if (downMilliseconds === Infinity) return;
     setTimeout(() => {
