--- a/review/12/case.ts
+++ b/review/12/case.ts
@@ -12,7 +12,7 @@
 
 const HOSTS = 2;
 
-const ENGINES = 2;
+const ENGINES = 6;
 
 const MODEL = 'model-a';
 
@@ -25,7 +25,7 @@
 const EVENT_MILLISECONDS = 200;
 
 /** Interval between two new streams, over all hosts. */
-const STREAM_MILLISECONDS = 80;
+const STREAM_MILLISECONDS = 40;
 
 const DEADLINE_MILLISECONDS = 20_000;
 
@@ -64,13 +64,13 @@
       adapterCapacity: 8,
     }),
   );
-  const startEngine = async (version: string) => {
+  const startEngine = async (version: string, models: readonly string[]) => {
     const engine = new ServerStandIn({
       service: ENGINE_SERVICE,
       store,
       slots: 64,
       version,
-      models: [MODEL],
+      models,
       sizes: SIZES,
       weightsMegabytes: 83_000,
       adapterCapacity: 8,
@@ -84,7 +84,7 @@
     return engine;
   };
   const old = await Promise.all(
-    Array.from({length: ENGINES}, () => startEngine('v1')),
+    Array.from({length: ENGINES}, () => startEngine('v1', [MODEL])),
   );
   const proxy = await StoreProxy.start(store.address);
   const hosts = await Hosts.start({
@@ -194,8 +194,10 @@
     }, AWAY_MILLISECONDS);
   }
   await pause(1000);
-  record.add('release: engines of v2 start beside those of v1');
-  const fresh = [await startEngine('v2'), await startEngine('v2')];
+  record.add('release: an engine of v2 starts, then one of v1 leaves');
+  const fresh = await startEngine('v2', []);
+  await pause(1000);
+  void old[0]?.leave(BOUNDS.drainMilliseconds);
   await pause(6000);
   record.add(`SIGKILL to ${lost.name}`);
   lost.signal('SIGKILL');
@@ -215,7 +217,7 @@
   );
   await hosts.end();
   proxy.stop();
-  for (const engine of [...old, ...fresh]) engine.stop();
+  for (const engine of [...old, fresh]) engine.stop();
   await store.stop();
   return mixed.length > ALLOWED_STREAMS;
 });
