--- a/review/12/case.ts
+++ b/review/12/case.ts
@@ -30,7 +30,7 @@
 const DEADLINE_MILLISECONDS = 20_000;
 
 /** Time for which the store turns the first host away. */
-const AWAY_MILLISECONDS = 9000;
+const AWAY_MILLISECONDS = 7000;
 
 /** Streams of two versions that the rule allows. */
 const ALLOWED_STREAMS = 2;
@@ -198,7 +198,7 @@
   const fresh = await startEngine('v2', []);
   await pause(1000);
   void old[0]?.leave(BOUNDS.drainMilliseconds);
-  await pause(6000);
+  await pause(4000);
   record.add(`SIGKILL to ${lost.name}`);
   lost.signal('SIGKILL');
   ready.delete(lost);
