Let pages speak only for streams that their process may have begun

One host had been restarted 26 s before, during a release.

Cause: a page said more than its writer could answer for. A page in mixed mode names each stream of its process, but readers let it raise doubt about streams that it does not name, and a new process stated the modes of the former one for 60 s, whatever streams that one had begun. The modes of a host that was killed for good held for ever, as nobody removes its row.

Now only single modes speak for unnamed streams. A page says whether it names all others (`isComplete`; pages of earlier releases do not), how long its unnamed streams live, and until when its modes hold: 60 s, renewed after 30 s while streams begin. A host that stops names its living streams before it goes. Hosts that leave the list are noted when they leave, not at the next take-up. Two pages that name one stream at two versions leave doubt, and so do mixed pages if the caller does not name its stream.

--- a/bench/stream_origin_cost.ts
+++ b/bench/stream_origin_cost.ts
@@ -79,7 +79,7 @@
     incarnation: `process-${index}`,
     versionsOf: () => versions,
     longestStreamMilliseconds: () => 60_000,
-    isListed: () => true,
+    listedHosts: () => undefined,
     connectedPeers: () => [],
     send: () => false,
     random: Math.random,
--- a/src/entry/_bind_streams.ts
+++ b/src/entry/_bind_streams.ts
@@ -34,12 +34,16 @@
       incarnation: self.incarnation,
       versionsOf: service => endpoints.versionsOf(service),
       longestStreamMilliseconds: () => longestStream(container),
-      isListed: hostId => !hosts.isKnown || hosts.get(hostId) !== undefined,
+      listedHosts: () =>
+        hosts.isKnown
+          ? new Set(hosts.all().map(({hostId}) => hostId))
+          : undefined,
       connectedPeers: () => peers.connectedPeers().map(({hostId}) => hostId),
       send: (hostId, message) => peers.send(hostId, message),
       random: Math.random,
     });
     endpoints.onChange(() => origins.endpointsChanged());
+    hosts.onChange(() => origins.hostsChanged());
     return origins;
   });
 }
--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -10,6 +10,7 @@
 import {PeerNetwork} from '../peers/mod.ts';
 import {DispatchWindow, RequestRelay} from '../relay/mod.ts';
 import {sleep} from '../time/mod.ts';
+import {StreamOrigins} from '../streams/mod.ts';
 import {createEntryContainer, type EntryContext} from './entry_container.ts';
 import {EntryListeners} from './entry_listeners.ts';
 import {EntryState} from './entry_state.ts';
@@ -125,11 +126,12 @@
     const now = clock.monotonicMilliseconds();
     dispatchWindow.close({closesAt: now, runsEndAt: now});
     relay.endUnansweredRequests();
+    const lastWrites = Promise.all([
+      registration.deregister(),
+      this.container.get(StreamOrigins).close(),
+    ]);
     await Promise.all([
-      Promise.race([
-        registration.deregister(),
-        sleep(clock, closingMilliseconds / 2),
-      ]),
+      Promise.race([lastWrites, sleep(clock, closingMilliseconds / 2)]),
       this.container
         .get(EntryListeners)
         .close(grace - EXIT_MILLISECONDS - elapsed()),
--- a/src/relay/_origin_guard.ts
+++ b/src/relay/_origin_guard.ts
@@ -6,7 +6,7 @@
   unreachable,
 } from '../errors/mod.ts';
 import type {Endpoint} from '../fleet/mod.ts';
-import type {ResumableStream} from '../streams/mod.ts';
+import {type ResumableStream, UNNAMED_STREAM} from '../streams/mod.ts';
 import {notRunError} from './_not_run_error.ts';
 import type {RoutedRequest} from './endpoint_source.ts';
 import type {RequestRelayOptions} from './relay_options.ts';
@@ -23,9 +23,6 @@
 /** Length of the key of a stream: 96 bits in base64. */
 const KEY_LENGTH = 16;
 
-/** Key of a stream whose caller does not name it; no stream is recorded under it. */
-const NO_KEY = '';
-
 /** Keeps one stream at the software version that began it. */
 export class OriginGuard {
   /** Whether the stream goes on after an earlier try of its caller. */
@@ -131,7 +128,7 @@
     );
     return {
       // Names belong to callers, so that one cannot claim the stream of another team.
-      key: name === undefined ? NO_KEY : keyOf(team, name),
+      key: name === undefined ? UNNAMED_STREAM : keyOf(team, name),
       service: service.name,
       livesUntil: arrivedAt + life + RETURN_MILLISECONDS,
     };
--- a/src/streams/_common_version.ts
+++ b/src/streams/_common_version.ts
@@ -1,45 +1,67 @@
-import type {ServiceMode} from './origin_page.ts';
-import type {StoredPage} from './origin_store.ts';
+import {modesEndAt, type OriginPage, type ServiceMode} from './origin_page.ts';
 
-/** Moment at which pages were read. */
-export interface ReadMoment {
+/** Circumstances of a question for the version of an unrecorded stream. */
+export interface UnrecordedStream {
+  readonly service: string;
+  /** Whether its caller names it, so that a page that records it would be found. */
+  readonly isNamed: boolean;
+  /** Era of the store in which the pages were read. */
   readonly era: number;
   /** Time of the store's clock; undefined if it is not known. */
   readonly storeMilliseconds: number | undefined;
+  /** Longest time for which a stream can be taken up, if its page does not tell. */
+  readonly longestLifeMilliseconds: number;
 }
 
 /**
- * Version at which all unrecorded streams of a service have begun, according to the
- * pages of all hosts; undefined if they state several ones or none, or one of them
- * cannot be read.
+ * Version at which an unrecorded stream has begun, according to the pages of all hosts.
+ *
+ * Only pages that state a single version speak for streams that they do not name. A
+ * complete page in mixed mode names all streams of its process, so it leaves no doubt.
+ *
+ * @param pages Pages of all hosts; undefined for one that cannot be read.
+ * @returns undefined if the pages state several versions or none, or leave doubt.
  */
 export function commonVersion(
-  pages: readonly StoredPage[],
-  service: string,
-  {era, storeMilliseconds}: ReadMoment,
+  pages: readonly (OriginPage | undefined)[],
+  stream: UnrecordedStream,
 ): string | undefined {
-  let version: string | undefined;
-  if (pages.some(({page}) => page === undefined)) return undefined;
-  for (const mode of pages.flatMap(stated => modesOf(stated))) {
-    if (mode.kind === 'mixed') return undefined;
-    if (version !== undefined && mode.version !== version) return undefined;
-    version = mode.version;
-  }
-  return version;
+  const modes = pages.flatMap(page => modesOf(page, stream));
+  const [first] = modes;
+  if (first?.kind !== 'single') return undefined;
+  const {version} = first;
+  return modes.every(mode => mode.kind === 'single' && mode.version === version)
+    ? version
+    : undefined;
+}
 
-  function modesOf({page}: StoredPage): readonly ServiceMode[] {
-    if (page === undefined) return [];
-    const own = page.modes[service];
-    const former = page.former
-      .filter(entry => entry.service === service)
-      .filter(
-        ({untilStoreMilliseconds}) =>
-          storeMilliseconds === undefined ||
-          untilStoreMilliseconds > storeMilliseconds,
-      )
-      .map(({mode}) => mode);
-    const modes = own === undefined ? former : [own, ...former];
-    // What an older era has stated may have changed in rows that were lost.
-    return page.era === era ? modes : modes.map(() => ({kind: 'mixed'}));
-  }
+/** What a page tells of a stream that it does not name. */
+function modesOf(
+  page: OriginPage | undefined,
+  {
+    service,
+    isNamed,
+    era,
+    storeMilliseconds,
+    longestLifeMilliseconds,
+  }: UnrecordedStream,
+): readonly ServiceMode[] {
+  if (page === undefined) return [{kind: 'mixed'}];
+  const hasEnded =
+    storeMilliseconds !== undefined &&
+    storeMilliseconds > modesEndAt(page, longestLifeMilliseconds);
+  const own = hasEnded ? undefined : page.modes[service];
+  const former = page.former
+    .filter(
+      entry =>
+        entry.service === service &&
+        (storeMilliseconds === undefined ||
+          entry.untilStoreMilliseconds > storeMilliseconds),
+    )
+    .map(({mode}) => mode);
+  const modes = own === undefined ? former : [own, ...former];
+  // What an older era has stated may have changed in rows that were lost.
+  if (page.era !== era) return modes.map(() => ({kind: 'mixed'}));
+  const namesAll = own?.kind === 'mixed' && page.isComplete && isNamed;
+  return namesAll ? former : modes;
 }
--- a/src/streams/_page_builder.ts
+++ b/src/streams/_page_builder.ts
@@ -1,7 +1,12 @@
 import type {EventLogger} from '../observability/mod.ts';
 import type {StoreClock, StoreEra} from '../stores/mod.ts';
 import type {OriginMemory, RememberedStream} from './_origin_memory.ts';
-import type {OriginPage, ServiceMode} from './origin_page.ts';
+import {
+  isSameMode,
+  modesEndAt,
+  type OriginPage,
+  type ServiceMode,
+} from './origin_page.ts';
 
 /** Options of {@link PageBuilder}. */
 export interface PageBuilderOptions {
@@ -20,6 +25,13 @@
 /** Streams in one page; a row of the store has 64 KiB. */
 const MAXIMUM_RECORDED = 800;
 
+/**
+ * Time for which the modes of a page hold. After the loss of a host they are in doubt for
+ * that long; a host writes its page that often, at least every half of it, while streams
+ * begin.
+ */
+const STATEMENT_MILLISECONDS = 60_000;
+
 type FormerMode = OriginPage['former'][number];
 
 /** Builds the page of this host. */
@@ -27,6 +39,7 @@
   private readonly used = new Set<string>();
   private longestLifeMilliseconds = 0;
   private former: readonly FormerMode[] = [];
+  private isClosing = false;
 
   constructor(private readonly options: PageBuilderOptions) {}
 
@@ -47,8 +60,14 @@
     this.longestLifeMilliseconds = Math.max(this.longestLifeMilliseconds, life);
   }
 
+  /** From now on each stream is recorded, if the page has room for all of them. */
+  close(): void {
+    this.isClosing = this.options.memory.living().length <= MAXIMUM_RECORDED;
+  }
+
   /** Versions at which streams may begin here, or may have in a former process. */
   modeOf(service: string): ServiceMode {
+    if (this.isClosing) return {kind: 'mixed'};
     const versions = new Set(this.options.versionsOf(service));
     for (const former of this.former) {
       if (former.service !== service) continue;
@@ -76,14 +95,36 @@
       if (memory.find(key) === undefined)
         memory.add({key, service: undefined, livesUntil}, version);
     }
-    const untilStoreMilliseconds = now + longestStreamMilliseconds();
-    const ended = Object.entries(page.modes).map(([service, mode]) => ({
-      service,
-      // What an older era has stated may have changed in rows that were lost.
-      mode: page.era === era ? mode : ({kind: 'mixed'} as const),
-      untilStoreMilliseconds,
-    }));
-    this.former = [...this.former, ...page.former, ...ended];
+    const longestLife = longestStreamMilliseconds();
+    const untilStoreMilliseconds = Math.min(
+      now + (page.longestLifeMilliseconds ?? longestLife),
+      modesEndAt(page, longestLife),
+    );
+    for (const [service, mode] of Object.entries(page.modes)) {
+      const isCurrent = page.era === era;
+      if (isCurrent && mode.kind === 'mixed' && page.isComplete) continue;
+      this.addFormer({
+        service,
+        // What an older era has stated may have changed in rows that were lost.
+        mode: isCurrent ? mode : {kind: 'mixed'},
+        untilStoreMilliseconds,
+      });
+    }
+    for (const former of page.former) this.addFormer(former);
+  }
+
+  /** A page that is read again says no more of streams that had ended before. */
+  private addFormer(former: FormerMode): void {
+    const isKnown = this.former.some(
+      ({service, mode}) =>
+        service === former.service && isSameMode(mode, former.mode),
+    );
+    if (!isKnown) this.former = [...this.former, former];
+  }
+
+  /** Whether the modes of a page end so soon that it is to be written anew. */
+  isEnding({statedUntilStoreMilliseconds = 0}: OriginPage, now: number) {
+    return statedUntilStoreMilliseconds - now < STATEMENT_MILLISECONDS / 2;
   }
 
   /** @param now Time of the store's clock. */
@@ -106,8 +147,10 @@
     return {
       writer: this.options.incarnation,
       era: this.options.storeEra.current,
+      isComplete: recorded.length === needed.length,
       modes,
       longestLifeMilliseconds: this.longestLifeMilliseconds,
+      statedUntilStoreMilliseconds: now + STATEMENT_MILLISECONDS,
       former: [...this.former],
       streams: recorded.map(({key, version, livesUntil}) => [
         key,
--- a/src/streams/_page_writer.ts
+++ b/src/streams/_page_writer.ts
@@ -65,6 +65,14 @@
     if (isOutdated) this.writeSoon();
   }
 
+  /** Writes the page if its modes will end soon. */
+  renewIfEnding(): void {
+    const now = this.storeNow();
+    const {durable} = this;
+    if (durable === undefined || now === undefined) return;
+    if (this.options.builder.isEnding(durable, now)) this.writeSoon();
+  }
+
   /** Called when the store may have lost the page, or brought an older one back. */
   storeRestored(): void {
     this.rowVersion = undefined;
--- a/src/streams/_possible_pages.ts
+++ b/src/streams/_possible_pages.ts
@@ -10,6 +10,13 @@
   /** Nothing, so that pages of other hosts would decide. */
   | 'absent';
 
+/** Time at which a stream begins. */
+export interface BeginTime {
+  readonly monotonicMilliseconds: number;
+  /** Time of the store's clock; undefined if it is not known. */
+  readonly storeMilliseconds: number | undefined;
+}
+
 /**
  * Pages that the row of this host may contain: the one that was written last, and those
  * whose write may still take effect.
@@ -45,10 +52,10 @@
   testimonyOn(
     stream: ResumableStream,
     version: string,
-    lifeMilliseconds: number,
+    now: BeginTime,
   ): Testimony {
     const testimonies = this.pages.map(page =>
-      this.testimonyOf(page, stream, version, lifeMilliseconds),
+      this.testimonyOf(page, stream, version, now),
     );
     if (testimonies.includes('denied')) return 'denied';
     return testimonies.length === 0 || testimonies.includes('absent')
@@ -69,9 +76,9 @@
 
   private testimonyOf(
     page: OriginPage,
-    {key, service}: ResumableStream,
+    {key, service, livesUntil}: ResumableStream,
     version: string,
-    lifeMilliseconds: number,
+    {monotonicMilliseconds, storeMilliseconds}: BeginTime,
   ): Testimony {
     const recorded = this.recordedIn(page).get(key);
     if (recorded !== undefined)
@@ -79,8 +86,13 @@
     const mode = page.modes[service];
     if (mode?.kind !== 'single') return 'absent';
     if (mode.version !== version) return 'denied';
-    const {longestLifeMilliseconds = Number.POSITIVE_INFINITY} = page;
-    return lifeMilliseconds <= longestLifeMilliseconds ? 'confirmed' : 'absent';
+    const {longestLifeMilliseconds = 0, statedUntilStoreMilliseconds = 0} =
+      page;
+    const isCovered =
+      livesUntil - monotonicMilliseconds <= longestLifeMilliseconds &&
+      storeMilliseconds !== undefined &&
+      storeMilliseconds <= statedUntilStoreMilliseconds;
+    return isCovered ? 'confirmed' : 'absent';
   }
 
   private recordedIn(page: OriginPage): ReadonlyMap<string, string> {
--- a/src/streams/mod.ts
+++ b/src/streams/mod.ts
@@ -20,4 +20,5 @@
   type StreamOrigin,
   StreamOrigins,
   type StreamOriginsOptions,
+  UNNAMED_STREAM,
 } from './stream_origins.ts';
--- a/src/streams/origin_page.ts
+++ b/src/streams/origin_page.ts
@@ -6,7 +6,7 @@
 const serviceMode = z.discriminatedUnion('kind', [
   /** All at this one. */
   z.object({kind: z.literal('single'), version}),
-  /** Streams at any version are recorded one by one. */
+  /** Streams at any version are recorded one by one; others may be at any version. */
   z.object({kind: z.literal('mixed')}),
 ]);
 
@@ -16,6 +16,12 @@
   writer: z.string(),
   /** Era of the store in which the page was written. */
   era: z.number().int().nonnegative(),
+  /**
+   * Whether the page names all streams of this process that no single mode covers. A
+   * complete page in mixed mode tells nothing of streams that it does not name: they
+   * are not of this process. Pages of earlier releases are incomplete.
+   */
+  isComplete: z.boolean().default(false),
   /** By service. */
   modes: z.record(z.string(), serviceMode),
   /**
@@ -24,8 +30,13 @@
    */
   longestLifeMilliseconds: z.number().nonnegative().optional(),
   /**
-   * Modes of former processes of the host whose streams may still be alive, up to a time
-   * of the store's clock.
+   * Time of the store's clock after which no stream begins under these modes before the
+   * page is written anew. Absent from pages of earlier releases, whose modes do not end.
+   */
+  statedUntilStoreMilliseconds: z.number().optional(),
+  /**
+   * What is known of unrecorded streams of former processes of the host that may still be
+   * alive, up to a time of the store's clock.
    */
   former: z.array(
     z.object({
@@ -61,6 +72,30 @@
   return parsed.success ? parsed.data : undefined;
 }
 
+/**
+ * Time by which a host may be late to notice that its modes have ended: it was suspended,
+ * which its monotonic clock does not count, or its estimate of the store's clock is off.
+ */
+const STATEMENT_MARGIN_MILLISECONDS = 15_000;
+
+/**
+ * Time of the store's clock after which no stream that the modes of a page cover can be
+ * taken up.
+ *
+ * @param longestLifeMilliseconds Used if the page does not state the lives of its streams.
+ */
+export function modesEndAt(
+  page: OriginPage,
+  longestLifeMilliseconds: number,
+): number {
+  const {statedUntilStoreMilliseconds = Number.POSITIVE_INFINITY} = page;
+  return (
+    statedUntilStoreMilliseconds +
+    STATEMENT_MARGIN_MILLISECONDS +
+    (page.longestLifeMilliseconds ?? longestLifeMilliseconds)
+  );
+}
+
 /** Whether two modes state the same. */
 export function isSameMode(left: ServiceMode, right: ServiceMode): boolean {
   if (left.kind === 'mixed' || right.kind === 'mixed')
--- a/src/streams/stream_evidence_fuzz_test.ts
+++ b/src/streams/stream_evidence_fuzz_test.ts
@@ -145,7 +145,11 @@
         break;
       case 'restart':
       case 'stop':
-        if (current.kind === 'stop') await fleet.stop(current.host);
+        if (current.kind === 'stop') {
+          const stopped = fleet.stop(current.host);
+          await clock.advanceAsync(500);
+          await stopped;
+        }
         fleet.start(current.host, ...process.known);
         break;
     }
--- a/src/streams/stream_evidence_test.ts
+++ b/src/streams/stream_evidence_test.ts
@@ -16,6 +16,8 @@
   isIsolated?: boolean;
   /** Whether the hosts that take the streams up learn of the release, or stand still. */
   askers?: 'in step' | 'stood still';
+  /** Versions whose streams must go on. */
+  goesOn: readonly string[];
 }
 
 const RELEASES: Release[] = [
@@ -23,25 +25,27 @@
     (['turned_away', 'silent', 'slow', 'answers_lost'] as const).map(
       (access): Release => ({
         name: `${access} with ${hosts} hosts`,
-        ...{hosts, access},
+        ...{hosts, access, goesOn: ['v1', 'v2']},
       }),
     ),
   ),
   {
     name: 'served with 3 hosts',
-    ...{hosts: 3, access: 'served'},
+    ...{hosts: 3, access: 'served', goesOn: ['v1', 'v2']},
   },
   {
     name: 'turned away and without a link to its peers',
-    ...{hosts: 3, access: 'turned_away', isIsolated: true},
+    ...{hosts: 3, access: 'turned_away', isIsolated: true, goesOn: ['v1']},
   },
   {
     name: 'turned away while the hosts that are asked stood still',
     ...{hosts: 3, access: 'turned_away', askers: 'stood still'},
+    goesOn: ['v1', 'v2'],
   },
   {
     name: 'served while the hosts that are asked stood still',
     ...{hosts: 3, access: 'served', askers: 'stood still'},
+    goesOn: ['v1', 'v2'],
   },
 ];
 
@@ -80,10 +84,10 @@
 
 describe('streams of a lost host that was', () => {
   // Guards against streams that go on at another version because the page of the host
-  // that began them denies theirs.
+  // that began them denies theirs, and against refusals of those that could go on.
   test.each(RELEASES)(
-    '$name keep their version',
-    async ({hosts, access, isIsolated, askers}) => {
+    '$name keep their version, and go on',
+    async ({hosts, access, isIsolated, askers, goesOn}) => {
       const fleet = startFleet(hosts, 'v1');
       const [lost, ...others] = [...fleet.hosts.values()];
       for (const host of fleet.hosts.values())
@@ -99,7 +103,10 @@
       for (const asked of [others[0]!, others.at(-1)!]) {
         for (const [key, version] of fleet.forwarded) {
           const found = await find(fleet, asked, key);
-          expect([version, 'unknown']).toContain(found);
+          const expected = goesOn.includes(version)
+            ? [version]
+            : [version, 'unknown'];
+          expect(expected).toContain(found);
         }
       }
       const begun = [...fleet.forwarded].filter(([key]) =>
@@ -109,3 +116,82 @@
     },
   );
 });
+
+/** A host whose process ends before a release, and the loss of another one after it. */
+interface Restart {
+  name: string;
+  /** How its process ends; one that is gone is not started again. */
+  ends: 'stopped' | 'killed' | 'gone';
+  /** Hosts that end in turn. */
+  count: number;
+  /** Versions in service at that time. */
+  versions: readonly string[];
+  /** Time from then to the end of the release. */
+  milliseconds: number;
+}
+
+const BEFORE_RELEASE = ['v1'];
+const IN_RELEASE = ['v1', 'v2'];
+
+const RESTARTS: Restart[] = [
+  ...[1, 2].flatMap(count =>
+    (['stopped', 'killed', 'gone'] as const).map((ends): Restart => ({
+      name: `${count} ${ends} during a release`,
+      ...{ends, count, versions: IN_RELEASE, milliseconds: 2000},
+    })),
+  ),
+  {
+    name: '1 stopped before a release',
+    ends: 'stopped',
+    ...{count: 1, versions: BEFORE_RELEASE, milliseconds: 2000},
+  },
+  {
+    name: '1 killed, and the streams that it may have begun have ended',
+    ends: 'killed',
+    ...{count: 1, versions: BEFORE_RELEASE, milliseconds: 25_000},
+  },
+  {
+    name: '1 gone, and the streams that it may have begun have ended',
+    ends: 'gone',
+    ...{count: 1, versions: BEFORE_RELEASE, milliseconds: 100_000},
+  },
+];
+
+describe('streams of a lost host, after other hosts were', () => {
+  // Guards against refusals of streams that could go on, because a page that outlives
+  // its process says more than that process can still answer for.
+  test.each(RESTARTS)(
+    '$name, go on',
+    async ({ends, count, versions, milliseconds}) => {
+      const fleet = startFleet(4, ...versions);
+      for (const host of fleet.hosts.values())
+        await beginStreams(fleet, host, versions, host.hostId);
+      for (const hostId of ['host-4', 'host-3'].slice(0, count)) {
+        const stopped = ends === 'stopped' ? fleet.stop(hostId) : undefined;
+        await advance(fleet, 1000);
+        await stopped;
+        if (ends === 'gone') {
+          fleet.endForGood(hostId);
+          continue;
+        }
+        const host = fleet.start(hostId, ...versions);
+        await beginStreams(fleet, host, versions, `next of ${hostId}`);
+      }
+      for (const host of fleet.hosts.values()) host.see('v1', 'v2');
+      await advance(fleet, milliseconds);
+      for (const host of fleet.hosts.values()) host.see('v2');
+      await advance(fleet, 1000);
+      const [lost, asked] = [...fleet.hosts.values()];
+      for (const host of fleet.hosts.values())
+        await beginStreams(fleet, host, ['v2'], `late ${host.hostId}`);
+      fleet.remove(lost!.hostId);
+      const found = [];
+      for (const [key, version] of fleet.forwarded) {
+        if (!key.startsWith('late')) continue;
+        found.push([version, await find(fleet, asked!, key)]);
+      }
+      expect(found).toEqual(found.map(() => ['v2', 'v2']));
+      expect(found.length).toBe(STREAMS * (ends === 'gone' ? 4 - count : 4));
+    },
+  );
+});
--- a/src/streams/stream_origins.ts
+++ b/src/streams/stream_origins.ts
@@ -8,12 +8,16 @@
 import {PageWriter} from './_page_writer.ts';
 import {PeerRecorder, type PendingRecord} from './_peer_recorder.ts';
 import {PossiblePages} from './_possible_pages.ts';
-import type {OriginStore, StoredPage, StoredPages} from './origin_store.ts';
+import type {OriginPage} from './origin_page.ts';
+import type {OriginStore, StoredPages} from './origin_store.ts';
 import {AbandonedPages} from './_abandoned_pages.ts';
 
+/** Key of a stream whose caller does not name it; no stream is recorded under it. */
+export const UNNAMED_STREAM = '';
+
 /** A stream that callers can take up again. */
 export interface ResumableStream {
-  /** Identity over all tries of its caller. */
+  /** Identity over all tries of its caller, or {@link UNNAMED_STREAM}. */
   readonly key: string;
   readonly service: string;
   /** Monotonic time after which its caller does not come back. */
@@ -43,8 +47,8 @@
   versionsOf: (service: string) => ReadonlySet<string>;
   /** Longest time for which a stream that begins now can be taken up. */
   longestStreamMilliseconds: () => number;
-  /** Whether a host is in the list of hosts. */
-  isListed: (hostId: string) => boolean;
+  /** Ids of the hosts in the list of hosts; undefined until it has been read. */
+  listedHosts: () => ReadonlySet<string> | undefined;
   /** Ids of the hosts with a connection to this one. */
   connectedPeers: () => readonly string[];
   /** Sends a message to a host; false if there is no connection. */
@@ -146,12 +150,12 @@
     version: string,
   ): Promise<boolean> | undefined {
     const now = this.options.clock.monotonicMilliseconds();
-    const life = stream.livesUntil - now;
     this.memory.add(stream, version);
-    this.builder.use(stream.service, life);
-    if (this.pages.testimonyOn(stream, version, life) === 'confirmed')
-      return undefined;
-    return this.record(stream, version);
+    this.builder.use(stream.service, stream.livesUntil - now);
+    if (this.testimonyOn(stream, version) !== 'confirmed')
+      return this.record(stream, version);
+    this.writer.renewIfEnding();
+    return undefined;
   }
 
   /** Records streams that begin at a peer which cannot write its own page. */
@@ -183,21 +187,24 @@
     const stored = await this.options.store.read();
     if (stored === undefined) return this.count({kind: 'unavailable'});
     this.abandoned.observe(stored);
-    const pages = stored.pages.filter(page => !this.abandoned.has(page));
-    const others = pages.map(page => this.withoutOwnModes(page));
-    const recorded = findRecorded(stored, stream.key);
-    if (recorded !== undefined) {
-      this.memory.add(stream, recorded);
-      return this.found('page', recorded);
+    const recorded = recordedVersions(stored, stream.key);
+    const [version] = recorded;
+    // Attempts that brought no event may have been recorded at other versions.
+    if (recorded.size > 1) return this.count({kind: 'unknown'});
+    if (version !== undefined) {
+      this.memory.add(stream, version);
+      return this.found('page', version);
     }
-    const now = this.storeNow();
-    const version = commonVersion(others, stream.service, {
+    const common = commonVersion(this.pagesOfOthers(stored), {
+      service: stream.service,
+      isNamed: stream.key !== UNNAMED_STREAM,
       era: stored.era,
-      storeMilliseconds: now,
+      storeMilliseconds: this.storeNow(),
+      longestLifeMilliseconds: this.options.longestStreamMilliseconds(),
     });
-    return version === undefined
+    return common === undefined
       ? this.count({kind: 'unknown'})
-      : this.found('common', version);
+      : this.found('common', common);
   }
 
   /** Called when endpoints have changed. */
@@ -205,6 +212,20 @@
     this.writer.writeIfOutdated();
   }
 
+  /** Called when the list of hosts has changed. */
+  hostsChanged(): void {
+    this.abandoned.hostsChanged();
+  }
+
+  /**
+   * Names all streams that may still be taken up in the page, as no more will begin here.
+   * The page then tells of no other streams, whatever the next process does.
+   */
+  async close(): Promise<void> {
+    this.builder.close();
+    if (this.builder.services.length > 0) await this.writer.write();
+  }
+
   private async record(
     stream: ResumableStream,
     version: string,
@@ -258,16 +279,27 @@
   }
 
   private testimonyOn(stream: ResumableStream, version: string) {
-    const now = this.options.clock.monotonicMilliseconds();
-    return this.pages.testimonyOn(stream, version, stream.livesUntil - now);
+    return this.pages.testimonyOn(stream, version, {
+      monotonicMilliseconds: this.options.clock.monotonicMilliseconds(),
+      storeMilliseconds: this.storeNow(),
+    });
   }
 
-  /** This process remembers its own streams, so its modes tell nothing of others. */
-  private withoutOwnModes(stored: StoredPage): StoredPage {
+  /**
+   * Pages that tell of streams which this process does not remember; undefined for one
+   * that cannot be read.
+   */
+  private pagesOfOthers({
+    pages,
+  }: StoredPages): readonly (OriginPage | undefined)[] {
     const {hostId, incarnation} = this.options;
-    const {page} = stored;
-    const isOwn = stored.hostId === hostId && page?.writer === incarnation;
-    return isOwn ? {...stored, page: {...page, modes: {}}} : stored;
+    return pages
+      .filter(stored => !this.abandoned.has(stored))
+      .map(stored => {
+        const {page} = stored;
+        const isOwn = stored.hostId === hostId && page?.writer === incarnation;
+        return isOwn ? {...page, modes: {}} : page;
+      });
   }
 
   private found(source: string, version: string): StreamOrigin {
@@ -287,10 +319,13 @@
   }
 }
 
-function findRecorded({pages}: StoredPages, key: string): string | undefined {
-  for (const {page} of pages) {
-    const entry = page?.streams.find(([recorded]) => recorded === key);
-    if (entry !== undefined) return entry[1];
-  }
-  return undefined;
+/** Versions under which pages name a stream. */
+function recordedVersions(
+  {pages}: StoredPages,
+  key: string,
+): ReadonlySet<string> {
+  const entries = pages.map(({page}) =>
+    page?.streams.find(([recorded]) => recorded === key),
+  );
+  return new Set(entries.flatMap(entry => entry?.[1] ?? []));
 }
--- a/src/streams/stream_origins_test.ts
+++ b/src/streams/stream_origins_test.ts
@@ -83,7 +83,7 @@
       metrics: new Metrics(),
       versionsOf: () => this.versions,
       longestStreamMilliseconds: () => 60_000,
-      isListed: () => true,
+      listedHosts: () => undefined,
       connectedPeers: () => [],
       send: () => false,
       random: () => 0,
@@ -168,7 +168,7 @@
       next.see('v2');
       await next.begin('next', 'v2');
     },
-    found: 'unknown',
+    found: 'v1',
   },
   {
     name: 'recorded by a process that was replaced twice',
--- a/src/testing/origin_fleet.ts
+++ b/src/testing/origin_fleet.ts
@@ -2,7 +2,7 @@
 import type {PeerMessage} from '../peers/mod.ts';
 import {type RowStore, StoreClock, StoreEra} from '../stores/mod.ts';
 import {OriginStore, StreamOrigins} from '../streams/mod.ts';
-import type {Clock} from '../time/mod.ts';
+import {type Clock, sleep} from '../time/mod.ts';
 import {OriginRows, type StoreAccess} from './origin_rows.ts';
 import {PausableClock} from './pausable_clock.ts';
 
@@ -13,6 +13,9 @@
 
 const MESSAGE_MILLISECONDS = 1;
 
+/** Time that a planned stop leaves for the last page. */
+const STOP_MILLISECONDS = 350;
+
 /** Hosts that keep streams at their software version, over a store and links in memory. */
 export class OriginFleet {
   readonly rows: OriginRows;
@@ -21,6 +24,8 @@
   readonly forwarded = new Map<string, string>();
   /** Streams that began although only peers remember them, as the store is away for all. */
   readonly unrecorded = new Set<string>();
+  /** Hosts that are listed although they have no process. */
+  readonly unreachable = new Set<string>();
   private readonly endsAt = new Map<string, number>();
   /** Hosts without a link to others. */
   readonly isolated = new Set<string>();
@@ -56,8 +61,19 @@
 
   /** Ends the process of a host as a planned stop does. */
   async stop(hostId: string): Promise<void> {
+    const host = this.hosts.get(hostId);
+    await Promise.race([
+      host?.origins.close(),
+      sleep(this.clock, STOP_MILLISECONDS),
+    ]);
+    host?.kill();
+  }
+
+  /** Ends the process of a host for good, although its row stays. */
+  endForGood(hostId: string): void {
     this.hosts.get(hostId)?.kill();
-    await Promise.resolve();
+    this.hosts.delete(hostId);
+    this.unreachable.add(hostId);
   }
 
   /** Ends the process of a host for good. */
@@ -121,7 +137,7 @@
       metrics: new Metrics(),
       versionsOf: () => this.versions,
       longestStreamMilliseconds: () => 60_000,
-      isListed: id => fleet.hosts.has(id),
+      listedHosts: () => new Set([...fleet.hosts.keys(), ...fleet.unreachable]),
       connectedPeers: () =>
         [...fleet.hosts.keys()].filter(id => fleet.areLinked(hostId, id)),
       send: (to, message) => fleet.send(hostId, to, message),
@@ -144,7 +160,7 @@
 
   /** Learns that the list of hosts has changed. */
   hostsChanged(): void {
-    // Nothing depends on it yet.
+    this.clock.run(() => this.origins.hostsChanged());
   }
 
   /**
