Keep streams without a name after a planned stop

The last page of a process now says that it names all its streams (`namesAll`) and keeps its modes, which then speak only for callers who name none. For such a caller the recorded streams of all pages count too, as its stream may be any of them, and so do the modes of the host that is asked.

--- a/src/streams/_common_version.ts
+++ b/src/streams/_common_version.ts
@@ -62,6 +62,17 @@
   const modes = own === undefined ? former : [own, ...former];
   // What an older era has stated may have changed in rows that were lost.
   if (page.era !== era) return modes.map(() => ({kind: 'mixed'}));
-  const namesAll = own?.kind === 'mixed' && page.isComplete && isNamed;
-  return namesAll ? former : modes;
+  // It may be any of the recorded ones.
+  if (!isNamed) return [...modes, ...recordedModes(page, storeMilliseconds)];
+  const isSilent = page.namesAll || (own?.kind === 'mixed' && page.isComplete);
+  return isSilent ? former : modes;
+}
+
+function recordedModes(
+  {streams}: OriginPage,
+  storeMilliseconds = Number.NEGATIVE_INFINITY,
+): readonly ServiceMode[] {
+  return streams
+    .filter(([, , until]) => until >= storeMilliseconds)
+    .map(([, version]) => ({kind: 'single', version}));
 }
--- a/src/streams/_page_builder.ts
+++ b/src/streams/_page_builder.ts
@@ -60,14 +60,13 @@
     this.longestLifeMilliseconds = Math.max(this.longestLifeMilliseconds, life);
   }
 
-  /** From now on each stream is recorded, if the page has room for all of them. */
+  /** From now on all streams are recorded, if the page has room for them. */
   close(): void {
-    this.isClosing = this.options.memory.living().length <= MAXIMUM_RECORDED;
+    this.isClosing = true;
   }
 
   /** Versions at which streams may begin here, or may have in a former process. */
   modeOf(service: string): ServiceMode {
-    if (this.isClosing) return {kind: 'mixed'};
     const versions = new Set(this.options.versionsOf(service));
     for (const former of this.former) {
       if (former.service !== service) continue;
@@ -102,7 +101,9 @@
     );
     for (const [service, mode] of Object.entries(page.modes)) {
       const isCurrent = page.era === era;
-      if (isCurrent && mode.kind === 'mixed' && page.isComplete) continue;
+      const isSilent =
+        page.namesAll || (mode.kind === 'mixed' && page.isComplete);
+      if (isCurrent && isSilent) continue;
       this.addFormer({
         service,
         // What an older era has stated may have changed in rows that were lost.
@@ -135,9 +136,9 @@
     const modes = Object.fromEntries(
       this.services.map(service => [service, this.modeOf(service)]),
     );
-    const needed = this.options.memory
-      .living()
-      .filter(stream => isNeeded(stream, modes));
+    const living = this.options.memory.living();
+    const namesAll = this.isClosing && living.length <= MAXIMUM_RECORDED;
+    const needed = living.filter(stream => namesAll || isNeeded(stream, modes));
     const recorded = needed.slice(-MAXIMUM_RECORDED);
     if (recorded.length < needed.length) {
       this.options.logger.event('streamOriginsDropped', {
@@ -148,6 +149,7 @@
       writer: this.options.incarnation,
       era: this.options.storeEra.current,
       isComplete: recorded.length === needed.length,
+      namesAll,
       modes,
       longestLifeMilliseconds: this.longestLifeMilliseconds,
       statedUntilStoreMilliseconds: now + STATEMENT_MILLISECONDS,
--- a/src/streams/_possible_pages.ts
+++ b/src/streams/_possible_pages.ts
@@ -84,7 +84,7 @@
     if (recorded !== undefined)
       return recorded === version ? 'confirmed' : 'denied';
     const mode = page.modes[service];
-    if (mode?.kind !== 'single') return 'absent';
+    if (mode?.kind !== 'single' || page.namesAll) return 'absent';
     if (mode.version !== version) return 'denied';
     const {longestLifeMilliseconds = 0, statedUntilStoreMilliseconds = 0} =
       page;
--- a/src/streams/origin_page.ts
+++ b/src/streams/origin_page.ts
@@ -22,6 +22,11 @@
    * are not of this process. Pages of earlier releases are incomplete.
    */
   isComplete: z.boolean().default(false),
+  /**
+   * Whether the page names even those that a mode covers, since the process ends. Its
+   * modes then speak only for callers who do not name their stream.
+   */
+  namesAll: z.boolean().default(false),
   /** By service. */
   modes: z.record(z.string(), serviceMode),
   /**
--- a/src/streams/stream_origins.ts
+++ b/src/streams/stream_origins.ts
@@ -195,9 +195,10 @@
       this.memory.add(stream, version);
       return this.found('page', version);
     }
-    const common = commonVersion(this.pagesOfOthers(stored), {
+    const isNamed = stream.key !== UNNAMED_STREAM;
+    const common = commonVersion(this.relevantPages(stored, isNamed), {
       service: stream.service,
-      isNamed: stream.key !== UNNAMED_STREAM,
+      isNamed,
       era: stored.era,
       storeMilliseconds: this.storeNow(),
       longestLifeMilliseconds: this.options.longestStreamMilliseconds(),
@@ -219,7 +220,7 @@
 
   /**
    * Names all streams that may still be taken up in the page, as no more will begin here.
-   * The page then tells of no other streams, whatever the next process does.
+   * The page then tells of no others.
    */
   async close(): Promise<void> {
     this.builder.close();
@@ -286,19 +287,20 @@
   }
 
   /**
-   * Pages that tell of streams which this process does not remember; undefined for one
-   * that cannot be read.
+   * Pages that tell of a stream; undefined for one that cannot be read. This process
+   * remembers the named streams that have begun here.
    */
-  private pagesOfOthers({
-    pages,
-  }: StoredPages): readonly (OriginPage | undefined)[] {
+  private relevantPages(
+    {pages}: StoredPages,
+    isNamed: boolean,
+  ): readonly (OriginPage | undefined)[] {
     const {hostId, incarnation} = this.options;
     return pages
       .filter(stored => !this.abandoned.has(stored))
       .map(stored => {
         const {page} = stored;
         const isOwn = stored.hostId === hostId && page?.writer === incarnation;
-        return isOwn ? {...page, modes: {}} : page;
+        return isOwn && isNamed ? {...page, modes: {}} : page;
       });
   }
 
