Let streams wait for a version that a host has not seen yet

Reported by operators of similar systems: a host that was out of step while engines of a new version joined let streams of that version go on at another one.

With a page that names the stream, or that tells its version, it did not: `stream_evidence_test.ts` now has askers that stood still or were cut off from store and peers, beside a lost host that the store served or turned away.

What did happen: the host that is asked finds the right version, knows no endpoint of it, and refused the stream at once and for good, though the endpoint serves and the host would learn of it a moment later. Such a stream now waits like one for a model that is being loaded, within the time that its caller allows, unless this host has seen an endpoint of the version before.

Evidence: the new case of `stream_versions_test.ts`, 'whose version the next host learns of later', refuses 6 of 6 streams without the change and lets all go on with it.

--- a/src/engines/_required_version.ts
+++ b/src/engines/_required_version.ts
@@ -25,6 +25,11 @@
   readonly holders: readonly Endpoint[];
   /** Incarnations that have failed the request. */
   readonly excluded: ReadonlySet<string>;
+  /**
+   * Whether this host has seen an endpoint of the version. If not, it learns later of the
+   * endpoint that began the stream than the host that sent the stream there.
+   */
+  readonly hasSeenVersion: boolean;
 }
 
 /**
@@ -33,10 +38,10 @@
  */
 export function refuseWithoutVersion(
   request: RoutedRequest,
-  {usable, holders, excluded}: VersionCandidates,
+  {usable, holders, excluded, hasSeenVersion}: VersionCandidates,
 ): Result<Endpoint, RequestError> | undefined {
   const {softwareVersion} = request;
-  if (softwareVersion === undefined) return undefined;
+  if (softwareVersion === undefined || !hasSeenVersion) return undefined;
   const isLeft = (endpoint: Endpoint) =>
     mayRun(request, endpoint) && !excluded.has(endpoint.incarnation);
   const mayCome = holders.length === 0 || holders.some(isLeft);
--- a/src/engines/endpoint_router.ts
+++ b/src/engines/endpoint_router.ts
@@ -161,6 +161,9 @@
         usable: registry.usable(service.name),
         holders: all,
         excluded,
+        hasSeenVersion:
+          request.softwareVersion === undefined ||
+          registry.hasSeenVersion(service.name, request.softwareVersion),
       });
       if (versionGone !== undefined) return versionGone;
       const roomAt = Math.min(...returnAt.values());
--- a/src/entry/stream_versions_test.ts
+++ b/src/entry/stream_versions_test.ts
@@ -90,7 +90,11 @@
   before: readonly string[];
   /** What happens between the two tries. */
   between: readonly (
-    'host restarts' | 'v1 leaves' | 'v2 starts' | 'store away'
+    | 'host restarts'
+    | 'v1 leaves'
+    | 'v1 is found late'
+    | 'v2 starts'
+    | 'store away'
   )[];
   named: Named;
   /** Version at which the streams go on; undefined if they are refused. */
@@ -147,6 +151,14 @@
     named: 'named',
     goesOnAt: undefined,
   },
+  {
+    // Guards against a host that is out of step and refuses what others can run.
+    name: 'whose version the next host learns of later',
+    before: ['v1', 'v2'],
+    between: ['host restarts', 'v1 is found late'],
+    named: 'named',
+    goesOnAt: 'v1',
+  },
   {
     name: 'whose version has left',
     before: ['v1', 'v2'],
@@ -213,6 +225,8 @@
       if (between.includes('v1 leaves'))
         await fleet.removeEndpoint(engines.get('v1')!);
       if (between.includes('v2 starts')) await startEngine('v2');
+      const isLate = between.includes('v1 is found late');
+      if (isLate) fleet.hideEndpoint(engines.get('v1')!);
       if (isRestarted) host = await startHost();
       const isReplaced = between.includes('v2 starts') && !isRestarted;
       if (isReplaced)
@@ -221,6 +235,7 @@
         await fleet.waitForLines('host-1', 'endpointGone', 1);
       if (between.includes('store away')) fleet.store.trouble = 'busy';
       for (const engine of engines.values()) engine.trouble = 'none';
+      if (isLate) setTimeout(() => fleet.showEndpoint(engines.get('v1')!), 300);
       const answers = [];
       for (const id of ids) {
         answers.push(
--- a/src/fleet/endpoint_registry.ts
+++ b/src/fleet/endpoint_registry.ts
@@ -36,6 +36,8 @@
   private hasSnapshot = false;
   /** Software versions by service; emptied when endpoints change. */
   private readonly versions = new Map<string, ReadonlySet<string>>();
+  /** Services and software versions of all endpoints since the start of this host. */
+  private readonly seenVersions = new Set<string>();
   private readonly observers = new Set<EndpointObserver>();
 
   constructor(private readonly options: EndpointRegistryOptions) {}
@@ -64,6 +66,11 @@
     return versions;
   }
 
+  /** Whether a service has had endpoints with a software version since this host started. */
+  hasSeenVersion(service: string, version: string): boolean {
+    return this.seenVersions.has(`${service} ${version}`);
+  }
+
   /** Whether a process is known to leave, so that it gets no new requests. */
   isLeaving({incarnation}: Pick<Endpoint, 'incarnation'>): boolean {
     return this.leaving.has(incarnation);
@@ -174,6 +181,7 @@
   private update(record: EndpointRecord, era: number): void {
     const {logger} = this.options;
     this.versions.clear();
+    this.seenVersions.add(`${record.service} ${record.softwareVersion}`);
     this.pendingRemovals.get(record.id)?.();
     this.pendingRemovals.delete(record.id);
     const known = this.endpoints.get(record.id);
--- a/src/streams/stream_evidence_test.ts
+++ b/src/streams/stream_evidence_test.ts
@@ -14,8 +14,8 @@
   access: StoreAccess;
   /** Whether that host has no link to other hosts. */
   isIsolated?: boolean;
-  /** Whether the hosts that take the streams up learn of the release, or stand still. */
-  askers?: 'in step' | 'stood still';
+  /** Whether the host that takes the streams up is out of step during the release. */
+  askers?: 'in step' | 'stood still' | 'cut off';
   /** Versions whose streams must go on. */
   goesOn: readonly string[];
 }
@@ -42,6 +42,10 @@
     ...{hosts: 3, access: 'turned_away', askers: 'stood still'},
     goesOn: ['v1', 'v2'],
   },
+  ...(['served', 'turned_away'] as const).map((access): Release => ({
+    name: `${access} while a host that is asked was cut off`,
+    ...{hosts: 4, access, askers: 'cut off', goesOn: ['v1', 'v2']},
+  })),
   {
     name: 'served while the hosts that are asked stood still',
     ...{hosts: 3, access: 'served', askers: 'stood still'},
@@ -94,12 +98,21 @@
         await beginStreams(fleet, host, ['v1'], host.hostId);
       lost!.access = access;
       if (isIsolated === true) fleet.isolated.add(lost!.hostId);
-      if (askers === 'stood still') others.at(-1)!.clock.pause();
-      for (const host of fleet.hosts.values()) host.see('v1', 'v2');
+      const outOfStep = others.at(-1)!;
+      if (askers === 'stood still') outOfStep.clock.pause();
+      if (askers === 'cut off') {
+        fleet.isolated.add(outOfStep.hostId);
+        outOfStep.access = 'silent';
+      }
+      for (const host of fleet.hosts.values()) {
+        if (askers !== 'cut off' || host !== outOfStep) host.see('v1', 'v2');
+      }
       await beginStreams(fleet, others[0]!, ['v1', 'v2'], 'elsewhere');
       await beginStreams(fleet, lost!, ['v1', 'v2'], 'lost');
       fleet.remove(lost!.hostId);
-      for (const host of others) host.clock.resume();
+      outOfStep.clock.resume();
+      outOfStep.access = 'served';
+      fleet.isolated.delete(outOfStep.hostId);
       for (const asked of [others[0]!, others.at(-1)!]) {
         for (const [key, version] of fleet.forwarded) {
           const found = await find(fleet, asked, key);
--- a/src/testing/entry_fleet.ts
+++ b/src/testing/entry_fleet.ts
@@ -24,6 +24,7 @@
   readonly lines: string[] = [];
   private readonly hosts: EntryHost[] = [];
   private readonly endpoints: PlatformEndpointStandIn[] = [];
+  private readonly hidden = new Set<PlatformEndpointStandIn>();
 
   private constructor(readonly store: PlatformStoreStandIn) {}
 
@@ -52,6 +53,18 @@
     await endpoint.stop();
   }
 
+  /** Removes the row of an endpoint that goes on serving. */
+  hideEndpoint(endpoint: PlatformEndpointStandIn): void {
+    this.hidden.add(endpoint);
+    this.store.drop('servers', endpoint.id);
+  }
+
+  /** Lets hosts find a hidden endpoint. */
+  showEndpoint(endpoint: PlatformEndpointStandIn): void {
+    this.hidden.delete(endpoint);
+    endpoint.register();
+  }
+
   /** Starts a host and waits until it knows the endpoints and a configuration. */
   async startHost(
     hostId: string,
@@ -87,7 +100,11 @@
       }),
     });
     this.hosts.push(host);
-    await this.waitForLines(hostId, 'endpointFound', this.endpoints.length);
+    await this.waitForLines(
+      hostId,
+      'endpointFound',
+      this.endpoints.length - this.hidden.size,
+    );
     return {
       host,
       callerPort: callers!,
