Name streams that were tried at another version before

A stream could go on at a version at which it had only been tried.

Cause: peers record a stream with the dispatch. If the endpoint brings no event and the stream begins at another version, which the page of its host states, it was covered by that mode and named nowhere else: a reader found the name in the peer's page, or the peer found it in its own memory.

A stream that was tried at another version is now always named, so that two pages that differ leave doubt, and a host that has only recorded a stream, for a peer or for a former process, reads the pages before it answers.

ResumableStream moves to a file of its own, so that no files of the folder import each other in a circle.

--- a/src/streams/_origin_memory.ts
+++ b/src/streams/_origin_memory.ts
@@ -1,5 +1,5 @@
 import type {Clock} from '../time/mod.ts';
-import type {ResumableStream} from './stream_origins.ts';
+import type {ResumableStream} from './resumable_stream.ts';
 
 /** Streams that are remembered; the oldest ones are forgotten first. */
 const MAXIMUM_STREAMS = 20_000;
@@ -7,9 +7,11 @@
 /** A stream and the software version at which it has begun. */
 export interface RememberedStream {
   readonly key: string;
-  /** Undefined if a former process of this host has recorded it. */
+  /** Undefined if it is only recorded here, for a former process or for a peer. */
   readonly service: string | undefined;
   readonly version: string;
+  /** Whether it was tried at other versions before, which peers may have recorded. */
+  readonly isMoved: boolean;
   /** Monotonic time after which its caller does not come back. */
   readonly livesUntil: number;
 }
@@ -31,14 +33,17 @@
     },
     version: string,
   ): void {
+    const known = this.streams.get(key);
+    const isMoved =
+      known !== undefined && (known.isMoved || known.version !== version);
     this.streams.delete(key);
-    this.streams.set(key, {key, service, version, livesUntil});
+    this.streams.set(key, {key, service, version, isMoved, livesUntil});
     this.removeOld();
   }
 
-  /** Returns the version of a stream that may still be taken up. */
-  find(key: string): string | undefined {
-    return this.streams.get(key)?.version;
+  /** Returns a stream that may still be taken up. */
+  find(key: string): RememberedStream | undefined {
+    return this.streams.get(key);
   }
 
   /** Streams that may still be taken up, the newest last. */
--- a/src/streams/_page_builder.ts
+++ b/src/streams/_page_builder.ts
@@ -165,9 +165,10 @@
 
 /** Whether the mode of its service does not tell the version of a stream. */
 function isNeeded(
-  {service, version}: RememberedStream,
+  {service, version, isMoved}: RememberedStream,
   modes: Readonly<Record<string, ServiceMode>>,
 ): boolean {
-  const mode = service === undefined ? undefined : modes[service];
+  if (service === undefined || isMoved) return true;
+  const mode = modes[service];
   return mode?.kind !== 'single' || mode.version !== version;
 }
--- a/src/streams/_peer_recorder.ts
+++ b/src/streams/_peer_recorder.ts
@@ -1,7 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import type {PeerMessage, PeerMessageOf} from '../peers/mod.ts';
 import {type Clock, sleep} from '../time/mod.ts';
-import type {ResumableStream} from './stream_origins.ts';
+import type {ResumableStream} from './resumable_stream.ts';
 
 /** Options of {@link PeerRecorder}. */
 export interface PeerRecorderOptions {
--- a/src/streams/_possible_pages.ts
+++ b/src/streams/_possible_pages.ts
@@ -1,5 +1,5 @@
 import type {OriginPage} from './origin_page.ts';
-import type {ResumableStream} from './stream_origins.ts';
+import type {ResumableStream} from './resumable_stream.ts';
 
 /** What a page tells of the version at which a stream of its host has begun. */
 export type Testimony =
@@ -10,6 +10,12 @@
   /** Nothing, so that pages of other hosts would decide. */
   | 'absent';
 
+/** A stream that begins at this host. */
+export interface BegunStream extends ResumableStream {
+  /** Whether it was tried at other versions before. */
+  readonly isMoved: boolean;
+}
+
 /** Time at which a stream begins. */
 export interface BeginTime {
   readonly monotonicMilliseconds: number;
@@ -49,11 +55,7 @@
   }
 
   /** What these pages tell, whichever of them the row contains. */
-  testimonyOn(
-    stream: ResumableStream,
-    version: string,
-    now: BeginTime,
-  ): Testimony {
+  testimonyOn(stream: BegunStream, version: string, now: BeginTime): Testimony {
     const testimonies = this.pages.map(page =>
       this.testimonyOf(page, stream, version, now),
     );
@@ -76,16 +78,19 @@
 
   private testimonyOf(
     page: OriginPage,
-    {key, service, livesUntil}: ResumableStream,
+    stream: BegunStream,
     version: string,
     {monotonicMilliseconds, storeMilliseconds}: BeginTime,
   ): Testimony {
+    const {key, service, livesUntil} = stream;
     const recorded = this.recordedIn(page).get(key);
     if (recorded !== undefined)
       return recorded === version ? 'confirmed' : 'denied';
     const mode = page.modes[service];
     if (mode?.kind !== 'single' || page.namesAll) return 'absent';
     if (mode.version !== version) return 'denied';
+    // A peer may name another version at which it was tried.
+    if (stream.isMoved) return 'absent';
     const {longestLifeMilliseconds = 0, statedUntilStoreMilliseconds = 0} =
       page;
     const isCovered =
--- a/src/streams/mod.ts
+++ b/src/streams/mod.ts
@@ -14,11 +14,10 @@
   OriginStore,
   type OriginStoreOptions,
 } from './origin_store.ts';
+export {type ResumableStream, UNNAMED_STREAM} from './resumable_stream.ts';
 export {
   type BeginLimit,
-  type ResumableStream,
   type StreamOrigin,
   StreamOrigins,
   type StreamOriginsOptions,
-  UNNAMED_STREAM,
 } from './stream_origins.ts';
--- a/src/streams/stream_evidence_fuzz_test.ts
+++ b/src/streams/stream_evidence_fuzz_test.ts
@@ -25,7 +25,14 @@
 const {seed: SEED, runs: RUNS} = fuzzParameters(150);
 
 type Step =
-  | {kind: 'begin'; host: string; choice: number; streams: number}
+  | {
+      kind: 'begin';
+      host: string;
+      choice: number;
+      streams: number;
+      /** Whether another version is tried before, without an event. */
+      isRetried: boolean;
+    }
   | {kind: 'find'; host: string; choice: number}
   /** The release goes on. */
   | {kind: 'release'}
@@ -45,6 +52,7 @@
     arbitrary: fc.record({
       ...{kind: fc.constant('begin' as const), host, choice},
       streams: fc.integer({min: 1, max: 4}),
+      isRetried: fc.boolean(),
     }),
   },
   {
@@ -119,7 +127,8 @@
         for (let count = 0; count < current.streams; count++) {
           const {known} = process;
           const version = known[(current.choice + count) % known.length]!;
-          void process.begin(`r${++streams}`, version);
+          const tried = current.isRetried ? known : [];
+          void process.begin(`r${++streams}`, version, tried);
         }
         break;
       case 'find': {
--- a/src/streams/stream_origins.ts
+++ b/src/streams/stream_origins.ts
@@ -11,18 +11,7 @@
 import type {OriginPage} from './origin_page.ts';
 import type {OriginStore, StoredPages} from './origin_store.ts';
 import {AbandonedPages} from './_abandoned_pages.ts';
-
-/** Key of a stream whose caller does not name it; no stream is recorded under it. */
-export const UNNAMED_STREAM = '';
-
-/** A stream that callers can take up again. */
-export interface ResumableStream {
-  /** Identity over all tries of its caller, or {@link UNNAMED_STREAM}. */
-  readonly key: string;
-  readonly service: string;
-  /** Monotonic time after which its caller does not come back. */
-  readonly livesUntil: number;
-}
+import {type ResumableStream, UNNAMED_STREAM} from './resumable_stream.ts';
 
 /** What is known of the software version at which a stream has begun. */
 export type StreamOrigin =
@@ -183,11 +172,13 @@
   /** Finds the version at which a stream has begun. */
   async find(stream: ResumableStream): Promise<StreamOrigin> {
     const remembered = this.memory.find(stream.key);
-    if (remembered !== undefined) return this.found('memory', remembered);
+    if (remembered?.service !== undefined)
+      return this.found('memory', remembered.version);
     const stored = await this.options.store.read();
     if (stored === undefined) return this.count({kind: 'unavailable'});
     this.abandoned.observe(stored);
     const recorded = recordedVersions(stored, stream.key);
+    if (remembered !== undefined) recorded.add(remembered.version);
     const [version] = recorded;
     // Attempts that brought no event may have been recorded at other versions.
     if (recorded.size > 1) return this.count({kind: 'unknown'});
@@ -280,7 +271,8 @@
   }
 
   private testimonyOn(stream: ResumableStream, version: string) {
-    return this.pages.testimonyOn(stream, version, {
+    const isMoved = this.memory.find(stream.key)?.isMoved ?? false;
+    return this.pages.testimonyOn({...stream, isMoved}, version, {
       monotonicMilliseconds: this.options.clock.monotonicMilliseconds(),
       storeMilliseconds: this.storeNow(),
     });
@@ -322,10 +314,7 @@
 }
 
 /** Versions under which pages name a stream. */
-function recordedVersions(
-  {pages}: StoredPages,
-  key: string,
-): ReadonlySet<string> {
+function recordedVersions({pages}: StoredPages, key: string): Set<string> {
   const entries = pages.map(({page}) =>
     page?.streams.find(([recorded]) => recorded === key),
   );
--- a/src/testing/origin_fleet.ts
+++ b/src/testing/origin_fleet.ts
@@ -13,6 +13,9 @@
 
 const MESSAGE_MILLISECONDS = 1;
 
+/** Time after which an attempt without an event is given up. */
+const ATTEMPT_MILLISECONDS = 60;
+
 /** Time that a planned stop leaves for the last page. */
 const STOP_MILLISECONDS = 350;
 
@@ -167,9 +170,18 @@
    * Begins a stream as the relay does.
    *
    * @param version Version of the endpoint that was chosen.
+   * @param tried Versions of endpoints that brought no event before.
    * @returns Whether an event of it was forwarded.
    */
-  async begin(key: string, version: string): Promise<boolean> {
+  async begin(
+    key: string,
+    version: string,
+    tried: readonly string[] = [],
+  ): Promise<boolean> {
+    for (const earlier of tried) {
+      void this.origins.begin(this.stream(key), earlier);
+      await sleep(this.clock, ATTEMPT_MILLISECONDS);
+    }
     const limit = this.origins.beginLimit(SERVICE);
     if (limit.kind === 'none') return false;
     const chosen = limit.kind === 'version' ? limit.version : version;
