Wait for records of streams as long as their callers wait

Supposed cause, not shown: the record took longer than a second, so the stream was refused, and the set-up waits for its first event.

A second has no reason behind it: callers leave after two seconds of silence at the earliest. The wait for a record now ends there; the time for which later streams are refused at once stays a second, under its own name.

--- a/src/streams/stream_origins.ts
+++ b/src/streams/stream_origins.ts
@@ -66,8 +66,14 @@
  */
 const HELD_MILLISECONDS = 250;
 
-/** Longest time for which a first event waits until its stream is recorded. */
-const RECORD_TIMEOUT_MILLISECONDS = 1000;
+/**
+ * Longest time for which a first event waits until its stream is recorded: callers leave
+ * after two seconds of silence.
+ */
+const RECORD_TIMEOUT_MILLISECONDS = 2000;
+
+/** Time after a refusal for which no stream begins that nobody is likely to record. */
+const REFUSAL_MILLISECONDS = 1000;
 
 /** Interval at which waiting streams look for peers that remember them. */
 const HELD_CHECK_MILLISECONDS = 50;
@@ -123,8 +129,7 @@
   /** Versions at which a stream of a service can be recorded. */
   beginLimit(service: string): BeginLimit {
     const now = this.options.clock.monotonicMilliseconds();
-    if (now - this.refusedAt >= RECORD_TIMEOUT_MILLISECONDS)
-      return {kind: 'any'};
+    if (now - this.refusedAt >= REFUSAL_MILLISECONDS) return {kind: 'any'};
     const version = this.pages.commonMode(service);
     return version === undefined ? {kind: 'none'} : {kind: 'version', version};
   }
