--- a/src/entry/fleet_state_exchange.ts
+++ b/src/entry/fleet_state_exchange.ts
@@ -248,8 +248,7 @@
       case 'loan_grant':
       case 'loan_return':
       case 'suspect':
-        // Messages for hosts that replicate their own log; entry hosts ignore
-        // them.
+        // Messages for hosts that replicate their own log.
         return;
       default:
         return unreachable(message);
--- a/src/relay/_attempt_loop.ts
+++ b/src/relay/_attempt_loop.ts
@@ -30,6 +30,7 @@
 import {type RequestEnd, watchRequestEnd} from './_request_end.ts';
 import {sendAttempt} from './_send_attempt.ts';
 import {streamResponse} from './_stream_response.ts';
+import {withheldOutcome} from './_withheld_outcome.ts';
 import {writeResponseHead} from './_write_response_head.ts';
 import {targetOf} from './endpoint_source.ts';
 import type {PromptPartRun} from './prompt_part_guard.ts';
@@ -118,10 +119,7 @@
       }
       const outcome = await this.attempt(acquired.value, run);
       if (outcome.kind === 'delivered' || callerLeft.aborted) return undefined;
-      if (outcome.kind === 'withheld') {
-        const code = REQUEST_ERROR_CODES.originUnrecorded;
-        return dispatchError(code, outcome.reason, false);
-      }
+      if (outcome.kind === 'withheld') return outcome.error;
       if (outcome.kind === 'broken' || !outcome.mayRetrySameEndpoint) {
         this.excluded.add(acquired.value.incarnation);
       }
@@ -258,19 +256,17 @@
   ): Promise<AttemptOutcome> {
     const {wireFormat, endpoints} = this.options;
     const {request, log} = this.context;
-    const {message, status} = endpointResponse;
+    const {message, status, earlierRequests} = endpointResponse;
     const {sentAt} = this;
     log.step = REQUEST_STEPS.relay;
     const notice = wireFormat.readNotice(message);
     const {requestId} = request.metadata;
-    const {earlierRequests} = endpointResponse;
     if (wireFormat.isNotRun(message, requestId, earlierRequests === 0)) {
       endpoints.noteResponse(endpoint, {notice, sentAt, isSuccess: false});
       discardResponse(endpointResponse);
       endpoint.condition.recordAnswer(false);
-      // An engine that was full or lacked the model may soon be the only one
-      // that can run the request, so it is not excluded. noteRefused delays
-      // the next attempt at it.
+      // An engine that was full or lacked the model may soon be the only one that can
+      // run the request, so it is not excluded. noteRefused delays the next attempt.
       const mayRetrySameEndpoint = request.metadata.model !== undefined;
       if (mayRetrySameEndpoint) endpoints.noteRefused(request, endpoint);
       const reason = `endpoint refused with ${status}`;
@@ -371,10 +367,7 @@
       return {kind: 'delivered'};
     }
     endpointResponse.abort();
-    if (outcome === 'withheld') {
-      const reason = 'the software version of the stream is not recorded';
-      return {kind: 'withheld', reason};
-    }
+    if (outcome === 'withheld') return withheldOutcome();
     this.splitter.discardIncompleteEvent();
     if (!this.isAborted) this.recordBrokenEndpoint(endpoint);
     return {kind: 'broken', reason: 'stream broke off', isDisconnected: true};
--- a/src/relay/_attempt_outcome.ts
+++ b/src/relay/_attempt_outcome.ts
@@ -1,8 +1,14 @@
+import type {RequestError} from '../errors/mod.ts';
+
 /** How an attempt at a request ended. */
 export type AttemptOutcome =
   | {readonly kind: 'delivered'}
   /** Nothing was forwarded, since the software version of the stream is not recorded. */
-  | {readonly kind: 'withheld'; readonly reason: string}
+  | {
+      readonly kind: 'withheld';
+      readonly reason: string;
+      readonly error: RequestError;
+    }
   | {
       readonly kind: 'not_run';
       readonly reason: string;
